Lay out the packages, the inner protocol and a thin request path

Cause: the project starts. Ruled out: one package for all, which would let policies reach the network. Change: eight packages with the dependencies between them fixed, traits for the platform and for policies, the inner protocol's schema with its generated code, and the threads of an entry host. Conclusion: the parts can be built side by side.

--- /dev/null
+++ b/crates/mangostep-daemon/src/back/mod.rs
@@ -0,0 +1,131 @@
+//! Sends requests to backend servers, over pooled connections.
+
+mod pools;
+
+use std::thread::JoinHandle;
+
+use {
+    futures::StreamExt,
+    reqwest::Response,
+    tokio::{
+        runtime::Builder,
+        sync::{mpsc, oneshot, watch},
+    },
+};
+
+use crate::{back::pools::ServerPools, entry_host::StopPhase, prelude::*};
+
+/// A request that the back thread sends once.
+pub(crate) struct BackJob {
+    pub(crate) address: std::net::SocketAddr,
+    pub(crate) method: reqwest::Method,
+    /// Path and query.
+    pub(crate) target: String,
+    pub(crate) headers: reqwest::header::HeaderMap,
+    pub(crate) body: BackBody,
+    pub(crate) connect_timeout: Duration,
+    pub(crate) reply: oneshot::Sender<Result<Response, BackFailure>>,
+}
+
+/// The body of a request.
+pub(crate) enum BackBody {
+    Whole(bytes::Bytes),
+    Stream(mpsc::Receiver<std::io::Result<bytes::Bytes>>),
+}
+
+/// Why a request got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BackFailure {
+    /// No byte of the request left.
+    ConnectFailed,
+    /// It may have run.
+    Broken,
+    /// It may have run; the time that it had is over.
+    TimedOut,
+}
+
+/// The ring of requests that the back thread takes.
+pub(crate) type BackRing = mpsc::Sender<BackJob>;
+
+/// Starts the back thread.
+pub(crate) fn spawn(
+    context: Arc<HostContext>,
+    mut jobs: mpsc::Receiver<BackJob>,
+    mut stopped: watch::Receiver<StopPhase>,
+) -> Result<JoinHandle<()>, DaemonError> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(context.settings.back_threads)
+        .thread_name("back")
+        .enable_all()
+        .build()
+        .map_err(|err| DaemonError::new("start runtime", "back thread", err))?;
+    let run = move || {
+        runtime.block_on(async move {
+            let mut pools = ServerPools::new(context.settings.outgoing);
+            loop {
+                tokio::select! {
+                    job = jobs.recv() => match job {
+                        Some(job) => start_job(&mut pools, job),
+                        None => break,
+                    },
+                    _ = stopped.wait_for(|phase| *phase == StopPhase::Stopped) => break,
+                }
+            }
+        });
+        runtime.shutdown_timeout(Duration::from_millis(200));
+    };
+    std::thread::Builder::new()
+        .name("back".to_owned())
+        .spawn(run)
+        .map_err(|err| DaemonError::new("start thread", "back thread", err))
+}
+
+fn start_job(pools: &mut ServerPools, job: BackJob) {
+    let Ok(client) = pools.client(job.address, job.connect_timeout) else {
+        // The front thread may have gone away meanwhile.
+        let _ = job.reply.send(Err(BackFailure::ConnectFailed));
+        return;
+    };
+    tokio::spawn(run_job(client, job));
+}
+
+async fn run_job(client: reqwest::Client, job: BackJob) {
+    let BackJob {
+        address,
+        method,
+        target,
+        headers,
+        body,
+        mut reply,
+        ..
+    } = job;
+    let body = match body {
+        BackBody::Whole(bytes) => reqwest::Body::from(bytes),
+        BackBody::Stream(receiver) => {
+            let chunks = futures::stream::unfold(receiver, |mut receiver| async move {
+                receiver.recv().await.map(|chunk| (chunk, receiver))
+            });
+            reqwest::Body::wrap_stream(chunks.boxed())
+        }
+    };
+    let send = client
+        .request(method, format!("http://{address}{target}"))
+        .headers(headers)
+        .body(body)
+        .send();
+    let result = tokio::select! {
+        result = send => result,
+        // The front thread gave the request up; dropping it closes its
+        // connection, so that a late answer reaches nobody else.
+        () = reply.closed() => return,
+    };
+    let answer = result.map_err(|err| {
+        if err.is_connect() {
+            BackFailure::ConnectFailed
+        } else {
+            BackFailure::Broken
+        }
+    });
+    // The front thread may have given up in this instant.
+    let _ = reply.send(answer);
+}
--- /dev/null
+++ b/crates/mangostep-daemon/src/entry_host.rs
@@ -0,0 +1,140 @@
+use std::{
+    sync::{
+        OnceLock,
+        atomic::{AtomicBool, AtomicU64},
+    },
+    thread::JoinHandle,
+};
+
+use {
+    arc_swap::ArcSwap,
+    mangostep_telemetry::{EventRecorder, RecorderSettings, open_log},
+    slog::info,
+    tokio::sync::{mpsc, watch},
+};
+
+use crate::{
+    back,
+    clock::HostClock,
+    context::{HostAddresses, HostStanding},
+    front,
+    peer::{self, PeerRing},
+    prelude::*,
+    settings::ServeSettings,
+    store,
+};
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct EntryHost {
+    context: Arc<HostContext>,
+    stop: watch::Sender<StopPhase>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// How far a stop has come; the threads wait for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum StopPhase {
+    /// Serving.
+    Running,
+    /// Running requests may end, new ones are refused.
+    Draining,
+    /// Everything ends.
+    Stopped,
+}
+
+impl EntryHost {
+    /// Starts all threads; the host serves once it has a configuration.
+    ///
+    /// Returns when all listeners are bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a listener cannot be bound or a client not be set up.
+    pub fn open(settings: ServeSettings) -> Result<Self, DaemonError> {
+        let incarnation = rand::random::<u64>() >> 1;
+        let log = open_log(&settings.host);
+        let recorder = EventRecorder::new(&settings.host, incarnation, RecorderSettings::default());
+        let context = Arc::new(HostContext {
+            incarnation,
+            clock: HostClock,
+            log,
+            recorder,
+            snapshot: ArcSwap::default(),
+            fleet: ArcSwap::default(),
+            servers: ArcSwap::default(),
+            standing: HostStanding::default(),
+            addresses: OnceLock::new(),
+            leaving: AtomicBool::new(false),
+            running: AtomicU64::new(0),
+            settings,
+        });
+        let (stop, stopped) = watch::channel(StopPhase::Running);
+        let capacity = context.settings.ring_capacity;
+        let (peer_sender, peer_asks) = mpsc::channel(capacity);
+        let peer_ring = PeerRing::new(context.clone(), peer_sender);
+        let (back_ring, back_jobs) = mpsc::channel(capacity);
+        let (bound_front, front_bound) = std::sync::mpsc::sync_channel(1);
+        let (peer_listener, peer_bound) = peer::bind(context.settings.peer)?;
+        let threads = vec![
+            front::spawn(
+                context.clone(),
+                peer_ring,
+                back_ring,
+                bound_front,
+                stopped.clone(),
+            )?,
+            peer::spawn(context.clone(), peer_listener, peer_asks, stopped.clone())?,
+            back::spawn(context.clone(), back_jobs, stopped.clone())?,
+            store::spawn(context.clone(), stopped)?,
+        ];
+        let front = front_bound
+            .recv()
+            .map_err(|err| DaemonError::new("bind front listener", context.settings.front, err))?;
+        let settings = &context.settings;
+        let addresses = HostAddresses {
+            front: settings.advertised_front.unwrap_or(front),
+            peer: settings.advertised_peer.unwrap_or(peer_bound),
+            operator: settings.operator,
+        };
+        // It is set nowhere else.
+        let _ = context.addresses.set(addresses);
+        info!(context.log, "started"; "incarnation" => incarnation);
+        Ok(EntryHost {
+            context,
+            stop,
+            threads,
+        })
+    }
+
+    /// Where the host is reached.
+    pub fn addresses(&self) -> HostAddresses {
+        self.context
+            .addresses
+            .get()
+            .copied()
+            .unwrap_or(HostAddresses {
+                front: self.context.settings.front,
+                peer: self.context.settings.peer,
+                operator: self.context.settings.operator,
+            })
+    }
+
+    /// Stops the host; running requests get the grace time to end.
+    pub fn close(self, grace: Duration) {
+        use std::sync::atomic::Ordering;
+
+        self.context.leaving.store(true, Ordering::Release);
+        self.stop.send_replace(StopPhase::Draining);
+        let end = self.context.clock.now() + grace;
+        while self.context.running.load(Ordering::Acquire) > 0 && self.context.clock.now() < end {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.stop.send_replace(StopPhase::Stopped);
+        for thread in self.threads {
+            // A thread that panicked has told so on standard error.
+            let _ = thread.join();
+        }
+        info!(self.context.log, "stopped");
+    }
+}
--- /dev/null
+++ b/crates/mangostep-daemon/src/front/lookup.rs
@@ -0,0 +1,43 @@
+use std::sync::atomic::Ordering;
+
+use {
+    rocket::{
+        Request, Response,
+        http::{Header, Status},
+    },
+    serde::Serialize,
+};
+
+use crate::prelude::*;
+
+/// The answer to `GET /_mangostep/entry`.
+#[derive(Debug, Serialize)]
+struct EntryAnswer {
+    /// IP numbers and ports, best first.
+    addresses: Vec<String>,
+    /// How long to keep this answer, in milliseconds.
+    keep_ms: u64,
+}
+
+/// Names the hosts that a caller should use.
+///
+/// Hosts of the asked host's own availability zone come first; hosts that
+/// leave or whose lease lapsed are left out.
+pub(crate) fn answer_lookup(context: &HostContext, _request: &Request<'_>) -> Response<'static> {
+    let fleet = context.fleet.load();
+    let zone = &context.settings.zone;
+    let mut hosts: Vec<_> = fleet.hosts.iter().filter(|host| !host.leaving).collect();
+    hosts.sort_by_key(|host| (host.zone != *zone, host.name != context.settings.host));
+    let mut addresses: Vec<String> = hosts.iter().map(|host| host.front.to_string()).collect();
+    if addresses.is_empty() && !context.leaving.load(Ordering::Acquire) {
+        addresses.push(context.settings.front.to_string());
+    }
+    let keep_ms = u64::try_from(context.settings.lookup_keep.as_millis()).unwrap_or(u64::MAX);
+    let body = serde_json::to_string(&EntryAnswer { addresses, keep_ms }).unwrap_or_default();
+    Response::build()
+        .status(Status::Ok)
+        .header(Header::new("content-type", "application/json"))
+        .header(Header::new("cache-control", "no-store"))
+        .sized_body(body.len(), std::io::Cursor::new(body))
+        .finalize()
+}
--- /dev/null
+++ b/crates/mangostep-daemon/src/peer/gate.rs
@@ -0,0 +1,119 @@
+use std::rc::Rc;
+
+use {
+    capnp::capability::FromClientHook,
+    capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::AsyncReadExt,
+    mangostep_wire::{
+        PROTOCOL_VERSION,
+        peer_capnp::{gate, hello, peer_link},
+        speaks_with,
+    },
+    tokio::net::{TcpListener, TcpStream},
+    tokio_util::compat::TokioAsyncReadCompatExt,
+};
+
+use crate::{peer::PeerDuties, prelude::*};
+
+/// Takes connections of other entry hosts until the thread ends.
+pub(crate) async fn accept_peers(duties: Rc<PeerDuties>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_peer(duties.clone(), stream));
+            }
+            Err(err) => {
+                slog::warn!(duties.context.log, "peer not accepted"; "cause" => err.to_string());
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(duties: Rc<PeerDuties>, stream: TcpStream) {
+    // Small messages must not wait for others; a failure only costs time.
+    let _ = stream.set_nodelay(true);
+    let gate: gate::Client = new_client(PeerGate { duties });
+    let (reader, writer) = stream.compat().split();
+    let network = VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        Side::Server,
+        Default::default(),
+    );
+    // The connection's end is the peer's affair; its calls time out there.
+    let _ = RpcSystem::new(
+        Box::new(network),
+        Some(gate.client.as_client_hook().add_ref().into_client()),
+    )
+    .await;
+}
+
+trait IntoClient {
+    fn into_client(self) -> capnp::capability::Client;
+}
+
+impl IntoClient for Box<dyn capnp::private::capability::ClientHook> {
+    fn into_client(self) -> capnp::capability::Client {
+        capnp::capability::Client::new(self)
+    }
+}
+
+/// Looks at who connects before it hands out anything.
+struct PeerGate {
+    duties: Rc<PeerDuties>,
+}
+
+impl gate::Server for PeerGate {
+    async fn greet(
+        self: Rc<Self>,
+        params: gate::GreetParams,
+        mut results: gate::GreetResults,
+    ) -> Result<(), capnp::Error> {
+        let hello = params.get()?.get_hello()?;
+        let settings = &self.duties.context.settings;
+        if hello.get_fleet()?.to_str()? != settings.fleet {
+            return Err(capnp::Error::failed("another fleet".to_owned()));
+        }
+        if !speaks_with(hello.get_protocol()) {
+            return Err(capnp::Error::failed("another protocol version".to_owned()));
+        }
+        let mut answer = results.get();
+        write_hello(&self.duties.context, answer.reborrow().init_hello());
+        answer.set_link(new_client(PeerServer {
+            duties: self.duties.clone(),
+        }));
+        Ok(())
+    }
+}
+
+/// Writes who this host is.
+pub(crate) fn write_hello(context: &HostContext, mut hello: hello::Builder<'_>) {
+    hello.set_protocol(PROTOCOL_VERSION);
+    hello.set_fleet(&context.settings.fleet);
+    hello.set_host(&context.settings.host);
+    hello.set_incarnation(context.incarnation);
+    hello.set_zone(&context.settings.zone);
+}
+
+/// Answers the calls of one peer; each duty answers its own.
+struct PeerServer {
+    duties: Rc<PeerDuties>,
+}
+
+impl peer_link::Server for PeerServer {
+    async fn vouch(
+        self: Rc<Self>,
+        params: peer_link::VouchParams,
+        mut results: peer_link::VouchResults,
+    ) -> Result<(), capnp::Error> {
+        let context = &self.duties.context;
+        context.recorder.clock().observe(params.get()?.get_stamp());
+        let mut answer = results.get();
+        answer.set_stamp(context.recorder.clock().tick());
+        answer
+            .init_answer()
+            .set_version(context.snapshot.load().version());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mangostep-daemon/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The types that nearly every module of the daemon uses.
+
+pub(crate) use std::{sync::Arc, time::Duration};
+
+pub(crate) use mangostep_policy::MonotonicTime;
+
+pub(crate) use crate::{context::HostContext, error::DaemonError};
--- /dev/null
+++ b/crates/mangostep-daemon/src/settings.rs
@@ -0,0 +1,85 @@
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use {
+    mangostep_platform::PlatformSettings,
+    serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
+};
+
+use crate::prelude::*;
+
+/// All that an entry host is told at its start, from a JSON file with
+/// comments.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServeSettings {
+    /// Name of the fleet; hosts of other fleets are not spoken to.
+    pub fleet: String,
+    /// Name of this host, unique in the fleet.
+    pub host: String,
+    /// Availability zone that this host stands in.
+    pub zone: String,
+    /// IP number and port for callers.
+    pub front: SocketAddr,
+    /// IP number and port for the other entry hosts.
+    pub peer: SocketAddr,
+    /// IP number and port for operators: metrics, status and events.
+    pub operator: SocketAddr,
+    /// Address that callers are told, when it differs from `front`.
+    pub advertised_front: Option<SocketAddr>,
+    /// Address that other hosts are told, when it differs from `peer`.
+    pub advertised_peer: Option<SocketAddr>,
+    /// IP number that outgoing connections start from; the system's choice
+    /// when absent.
+    pub outgoing: Option<IpAddr>,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// Threads that take requests from callers.
+    pub front_threads: usize,
+    /// Threads that speak to backend servers.
+    pub back_threads: usize,
+    /// Requests that may wait in one ring between two threads.
+    pub ring_capacity: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: u64,
+    /// Largest sum of names and values of a request's headers, in bytes.
+    pub header_bytes: usize,
+    /// Largest body that is held back until it is whole, in bytes, so that
+    /// its request can be sent again.
+    pub replay_bytes: u64,
+    /// How long callers keep the answer of a look-up.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "lookup_keep_ms")]
+    pub lookup_keep: Duration,
+    /// Time between two renewals of the host's lease.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "renew_every_ms")]
+    pub renew_every: Duration,
+}
+
+impl Default for ServeSettings {
+    fn default() -> Self {
+        let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        ServeSettings {
+            fleet: "mangostep".to_owned(),
+            host: String::new(),
+            zone: String::new(),
+            front: local(8080),
+            peer: local(8081),
+            operator: local(8082),
+            advertised_front: None,
+            advertised_peer: None,
+            outgoing: None,
+            platform: PlatformSettings::default(),
+            front_threads: 4,
+            back_threads: 2,
+            ring_capacity: 4096,
+            body_bytes: 256 << 20,
+            header_bytes: 32 << 10,
+            replay_bytes: 64 << 10,
+            lookup_keep: Duration::from_secs(3),
+            renew_every: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangostep-objects/src/objects.rs
@@ -0,0 +1,275 @@
+use std::{fmt, time::Duration};
+
+use {
+    serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
+    sha2::{Digest, Sha256},
+    subtle::ConstantTimeEq,
+};
+
+/// A tenant, whose callers share one rate and one burst.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// Name, unique among workspaces.
+    pub name: String,
+    /// Name of the [`Limit`] that holds for all hosts together.
+    pub limit: String,
+}
+
+/// The SHA-256 digest of a key; the key itself is never stored.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct KeyDigest(#[serde(with = "hex_digest")] [u8; 32]);
+
+impl KeyDigest {
+    /// Digests a key as a caller presents it.
+    pub fn of(secret: &[u8]) -> Self {
+        KeyDigest(Sha256::digest(secret).into())
+    }
+
+    /// The digest's bytes.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
+    /// Compares in a time that does not depend on the contents.
+    pub fn matches(&self, other: &KeyDigest) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+mod hex_digest {
+    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+
+    pub(super) fn serialize<S: Serializer>(bytes: &[u8; 32], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&hex::encode(bytes))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<[u8; 32], D::Error> {
+        let text = std::borrow::Cow::<'de, str>::deserialize(from)?;
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text.as_bytes(), &mut bytes)
+            .map_err(|_| D::Error::custom("must be 64 hexadecimal digits"))?;
+        Ok(bytes)
+    }
+}
+
+/// A key that callers present to act for a workspace.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Name, unique among keys; safe to show in logs.
+    pub name: String,
+    /// Name of the workspace that the key acts for.
+    pub workspace: String,
+    /// Digest of the key.
+    pub sha256: KeyDigest,
+}
+
+/// Whether a request may be sent more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestKind {
+    /// May be sent again within its deadline and the retry budget.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+}
+
+/// Who may use a route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RouteAccess {
+    /// Only callers that present the key of a workspace.
+    #[default]
+    Keyed,
+    /// Everyone; no key is looked at.
+    Open,
+}
+
+/// Leads requests to a service, by host name, path prefix and method.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name, unique among routes.
+    pub name: String,
+    /// Host name that the route answers to; any when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
+    /// Normalised path prefix, matched by whole segments.
+    pub path: String,
+    /// Methods that the route takes; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub methods: Vec<String>,
+    /// Name of the service behind the route.
+    pub service: String,
+    /// Whether its requests may be sent again.
+    pub kind: RequestKind,
+    /// Who may use it.
+    #[serde(default)]
+    pub access: RouteAccess,
+    /// Workspaces that may use it; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<String>,
+    /// Limit for an open route, by its fleet-wide rate; none when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<String>,
+    /// Longest time from a request's arrival to the end of its answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "deadline_ms")]
+    pub deadline: Duration,
+}
+
+/// The headers and paths that the backend servers of a service speak.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceDialect {
+    /// Header that carries the request id; echoed when `echoes_id` is set.
+    pub id_header: String,
+    /// Whether the server echoes the request id.
+    pub echoes_id: bool,
+    /// Header that carries the time left, in milliseconds.
+    pub deadline_header: String,
+    /// Header that names the workspace to the server.
+    pub workspace_header: String,
+    /// Answer header by which the server says that it did not run a request.
+    pub not_run_header: String,
+    /// Answer header by which the server says that it leaves.
+    pub draining_header: String,
+    /// Answer header by which the server says that it is in cold start.
+    pub cold_header: String,
+    /// Path of the health probe.
+    pub health_path: String,
+    /// Path of the load report.
+    pub load_path: String,
+    /// Path that cancels a request by id, by POST; empty for none.
+    pub cancel_path: String,
+}
+
+impl Default for ServiceDialect {
+    fn default() -> Self {
+        ServiceDialect {
+            id_header: "x-request-id".to_owned(),
+            echoes_id: true,
+            deadline_header: "x-deadline-ms".to_owned(),
+            workspace_header: "x-workspace".to_owned(),
+            not_run_header: "x-not-run".to_owned(),
+            draining_header: "x-draining".to_owned(),
+            cold_header: "x-cold".to_owned(),
+            health_path: "/healthz".to_owned(),
+            load_path: "/loadz".to_owned(),
+            cancel_path: String::new(),
+        }
+    }
+}
+
+/// A kind of backend server, as many as the host directory lists for it.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Service {
+    /// Name, unique among services.
+    pub name: String,
+    /// Availability zones that its backend servers stand in.
+    pub zones: Vec<String>,
+    /// Requests that one warm backend server runs at once.
+    pub slots: u32,
+    /// Requests that one backend server in cold start runs at once.
+    pub cold_slots: u32,
+    /// Time from cold to warm under load.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "cold_ramp_ms")]
+    pub cold_ramp: Duration,
+    /// Backend servers that stay in use, over all zones, whatever they do.
+    pub floor: u32,
+    /// Connections that one backend server takes.
+    pub connections: u32,
+    /// Time between two probes of a backend server.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "probe_every_ms")]
+    pub probe_every: Duration,
+    /// Longest time to connect to a backend server.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "connect_timeout_ms")]
+    pub connect_timeout: Duration,
+    /// Longest time that one try may take, within the route's deadline.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "try_timeout_ms")]
+    pub try_timeout: Duration,
+    /// Largest answer of unknown length, which is held until it is whole.
+    pub unsized_answer_bytes: u64,
+    /// The headers and paths that its backend servers speak.
+    pub dialect: ServiceDialect,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Service {
+            name: String::new(),
+            zones: Vec::new(),
+            slots: 2,
+            cold_slots: 1,
+            cold_ramp: Duration::from_secs(10),
+            floor: 1,
+            connections: 400,
+            probe_every: Duration::from_secs(1),
+            connect_timeout: Duration::from_millis(500),
+            try_timeout: Duration::from_secs(2),
+            unsized_answer_bytes: 4 << 20,
+            dialect: ServiceDialect::default(),
+        }
+    }
+}
+
+/// Whether an availability zone takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ZoneState {
+    /// It takes work.
+    #[default]
+    In,
+    /// It takes no new work.
+    Out,
+}
+
+/// A part of a region that fails on its own.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AvailabilityZone {
+    /// Name, unique among availability zones.
+    pub name: String,
+    /// Region that it lies in.
+    pub region: String,
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub state: ZoneState,
+    /// Time over which work returns to it after it was out.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "default_return_ramp", rename = "return_ramp_ms")]
+    pub return_ramp: Duration,
+}
+
+fn default_return_ramp() -> Duration {
+    Duration::from_secs(10)
+}
+
+/// A rate and a burst, counted over all hosts together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limit {
+    /// Name, unique among limits.
+    pub name: String,
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// Requests that may come at once after a quiet time.
+    pub burst: f64,
+}
--- /dev/null
+++ b/crates/mangostep-objects/src/snapshot.rs
@@ -0,0 +1,182 @@
+use std::collections::HashMap;
+
+use crate::{
+    AvailabilityZone, KeyDigest, Limit, NormalPath, ObjectSet, Route, RouteAccess, Service,
+    ZoneState, normalize_host,
+};
+
+/// A checked set of objects, indexed for the request path.
+///
+/// A snapshot never changes; a publication makes a new one with a larger
+/// version.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    version: u64,
+    routes: Vec<CompiledRoute>,
+    keys: HashMap<[u8; 32], KeyOwner>,
+    limits: HashMap<String, Limit>,
+    services: HashMap<String, Service>,
+    zones: HashMap<String, AvailabilityZone>,
+}
+
+#[derive(Clone, Debug)]
+struct KeyOwner {
+    digest: KeyDigest,
+    workspace: String,
+}
+
+/// A route with its host name and methods in matching form.
+#[derive(Clone, Debug)]
+pub struct CompiledRoute {
+    /// The route as published.
+    pub route: Route,
+    host: Option<String>,
+}
+
+/// The route that a request takes and the service behind it.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteTarget<'s> {
+    /// The route.
+    pub route: &'s Route,
+    /// The service.
+    pub service: &'s Service,
+}
+
+impl Snapshot {
+    /// Compiles a set that has been checked.
+    pub fn compile(version: u64, set: &ObjectSet) -> Self {
+        let mut routes: Vec<CompiledRoute> = set
+            .routes
+            .iter()
+            .map(|route| CompiledRoute {
+                host: route.host.as_deref().map(normalize_host),
+                route: route.clone(),
+            })
+            .collect();
+        // The most exact route comes first: a named host before any host,
+        // then the longer path, then a list of methods before all methods.
+        routes.sort_by_key(|compiled| {
+            let route = &compiled.route;
+            let length = route.path.trim_end_matches('/').len();
+            (
+                compiled.host.is_none(),
+                std::cmp::Reverse(length),
+                route.methods.is_empty(),
+            )
+        });
+        let limit_of: HashMap<&str, &Limit> = set
+            .limits
+            .iter()
+            .map(|limit| (limit.name.as_str(), limit))
+            .collect();
+        let limits = set
+            .workspaces
+            .iter()
+            .filter_map(|workspace| {
+                let limit = limit_of.get(workspace.limit.as_str())?;
+                Some((workspace.name.clone(), (*limit).clone()))
+            })
+            .collect();
+        let keys = set
+            .keys
+            .iter()
+            .map(|key| {
+                let owner = KeyOwner {
+                    digest: key.sha256,
+                    workspace: key.workspace.clone(),
+                };
+                (*key.sha256.as_bytes(), owner)
+            })
+            .collect();
+        let services = set
+            .services
+            .iter()
+            .map(|service| (service.name.clone(), service.clone()))
+            .collect();
+        let zones = set
+            .zones
+            .iter()
+            .map(|zone| (zone.name.clone(), zone.clone()))
+            .collect();
+        Snapshot {
+            version,
+            routes,
+            keys,
+            limits,
+            services,
+            zones,
+        }
+    }
+
+    /// The version under which the set was published; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Finds the route of a request.
+    pub fn route(&self, host: &str, path: &NormalPath, method: &str) -> Option<RouteTarget<'_>> {
+        let host = normalize_host(host);
+        let compiled = self.routes.iter().find(|compiled| {
+            let route = &compiled.route;
+            compiled.host.as_ref().is_none_or(|name| *name == host)
+                && path.is_under(&route.path)
+                && (route.methods.is_empty() || route.methods.iter().any(|m| m == method))
+        })?;
+        let service = self.services.get(&compiled.route.service)?;
+        Some(RouteTarget {
+            route: &compiled.route,
+            service,
+        })
+    }
+
+    /// Finds the workspace that a presented key acts for.
+    pub fn workspace_of(&self, secret: &[u8]) -> Option<&str> {
+        let digest = KeyDigest::of(secret);
+        let owner = self.keys.get(digest.as_bytes())?;
+        owner
+            .digest
+            .matches(&digest)
+            .then_some(owner.workspace.as_str())
+    }
+
+    /// The limit of a workspace.
+    pub fn limit_of(&self, workspace: &str) -> Option<&Limit> {
+        self.limits.get(workspace)
+    }
+
+    /// The names of all workspaces with their limits.
+    pub fn limits(&self) -> impl Iterator<Item = (&str, &Limit)> {
+        self.limits
+            .iter()
+            .map(|(name, limit)| (name.as_str(), limit))
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
+    /// An availability zone by name.
+    pub fn zone(&self, name: &str) -> Option<&AvailabilityZone> {
+        self.zones.get(name)
+    }
+
+    /// Tells whether an availability zone takes new work.
+    pub fn zone_is_in(&self, name: &str) -> bool {
+        self.zones
+            .get(name)
+            .is_some_and(|zone| zone.state == ZoneState::In)
+    }
+
+    /// Tells whether a workspace may use a route.
+    pub fn may_use(&self, route: &Route, workspace: &str) -> bool {
+        route.access == RouteAccess::Open
+            || route.workspaces.is_empty()
+            || route.workspaces.iter().any(|name| name == workspace)
+    }
+}
--- /dev/null
+++ b/crates/mangostep-platform/src/lib.rs
@@ -0,0 +1,41 @@
+//! The platform's table service, object store and host directory.
+//!
+//! All that a fleet agrees on or keeps goes through these three. Each is a
+//! small trait, so that policy and tests need no network, and each has one
+//! client that speaks JSON over HTTP.
+//!
+//! # Parts
+//!
+//! * [`TableStore`]: rows with versions, and transactions on them.
+//! * [`ObjectStore`]: immutable objects by name.
+//! * [`HostDirectory`]: the lagging list of backend servers.
+//! * [`PlatformClient`]: all three over HTTP, with a deadline for each call.
+//! * [`keys`]: the names of the rows that a fleet uses.
+//!
+//! # Example
+//!
+//! ```
+//! use mangostep_platform::{Condition, Transaction, Write};
+//!
+//! let mut change = Transaction::default();
+//! change.conditions.push(Condition { key: "head".into(), version: 4 });
+//! change.writes.push(Write { key: "head".into(), value: Some("{}".into()) });
+//! assert_eq!(change.writes.len(), 1);
+//! ```
+
+mod client;
+mod directory;
+mod error;
+mod head;
+pub mod keys;
+mod objects;
+mod table;
+
+pub use crate::{
+    client::{PlatformClient, PlatformSettings},
+    directory::{DirectoryEntry, DirectoryState, HostDirectory},
+    error::PlatformError,
+    head::ConfigurationHead,
+    objects::ObjectStore,
+    table::{Condition, Row, TableAnswer, TableStore, Transaction, Write},
+};
--- /dev/null
+++ b/crates/mangostep-policy/src/lib.rs
@@ -0,0 +1,28 @@
+//! Every decision of an entry host, as pure state machines.
+//!
+//! A policy type takes events and returns actions. It reads no clock, draws
+//! no random number of its own, starts no thread and does no I/O: the caller
+//! passes the time and the random source, and carries the actions out. So
+//! each is driven by property tests and by replay of recorded traces.
+//!
+//! # Parts
+//!
+//! * [`Machine`] is the trait that every policy type implements.
+//! * [`MonotonicTime`] is a reading of a host's monotonic clock.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//! use mangostep_policy::MonotonicTime;
+//!
+//! let start = MonotonicTime::from_micros(5_000_000);
+//! let later = start + Duration::from_secs(2);
+//! assert_eq!(later.since(start), Duration::from_secs(2));
+//! ```
+
+mod machine;
+mod rendezvous;
+mod time;
+
+pub use crate::{machine::Machine, rendezvous::rendezvous_order, time::MonotonicTime};
--- /dev/null
+++ b/crates/mangostep-policy/src/time.rs
@@ -0,0 +1,54 @@
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+/// A reading of one host's monotonic clock, in microseconds.
+///
+/// Readings of two hosts are never compared. The clock counts the time that
+/// a machine is suspended.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct MonotonicTime(u64);
+
+impl MonotonicTime {
+    /// The earliest reading.
+    pub const ZERO: MonotonicTime = MonotonicTime(0);
+
+    /// Makes a reading from microseconds.
+    pub const fn from_micros(micros: u64) -> Self {
+        MonotonicTime(micros)
+    }
+
+    /// The reading in microseconds.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Time since an earlier reading; zero when it is not earlier.
+    pub const fn since(self, earlier: MonotonicTime) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for MonotonicTime {
+    type Output = MonotonicTime;
+
+    fn add(self, span: Duration) -> MonotonicTime {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        MonotonicTime(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for MonotonicTime {
+    type Output = MonotonicTime;
+
+    fn sub(self, span: Duration) -> MonotonicTime {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        MonotonicTime(self.0.saturating_sub(micros))
+    }
+}
--- /dev/null
+++ b/crates/mangostep-telemetry/src/lib.rs
@@ -0,0 +1,25 @@
+//! Logs, counters and time-line events of an entry host.
+//!
+//! # Parts
+//!
+//! * [`open_log`] sets up structured log lines on standard error.
+//! * [`EventRecorder`] keeps the latest time-line events in a bounded ring.
+//! * [`LogicalClock`] stamps events so that causes sort before effects.
+//!
+//! # Example
+//!
+//! ```
+//! use mangostep_telemetry::{EventRecorder, RecorderSettings};
+//!
+//! let recorder = EventRecorder::new("h1", 7, RecorderSettings { capacity: 2, ..Default::default() });
+//! recorder.record("version-in-force", &[("version", "4")]);
+//! assert_eq!(recorder.since(0, 10).events.len(), 1);
+//! ```
+
+mod event;
+mod log;
+
+pub use crate::{
+    event::{EventPage, EventRecorder, LogicalClock, RecorderSettings, TimelineEvent},
+    log::open_log,
+};
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the outside systems, experiments and process tests.
