Publish by compare-and-set with a record for each version

Cause: a publication whose answer is lost must neither be sent twice nor be called failed. Ruled out: a list of recent publications in the head row, which every host would read twice a second. Conclusion: of two operators one wins, and the other learns who did.

--- a/crates/mangostep-platform/src/keys.rs
+++ b/crates/mangostep-platform/src/keys.rs
@@ -46,3 +46,8 @@
 pub fn snapshot(fleet: &str, digest: &str) -> String {
     format!("{fleet}/snapshot/{digest}")
 }
+
+/// The row that records the publication of one version.
+pub fn publication(fleet: &str, version: u64) -> String {
+    format!("{fleet}/publication/{version}")
+}
--- a/crates/mangostep-platform/src/lib.rs
+++ b/crates/mangostep-platform/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`ObjectStore`]: immutable objects by name.
 //! * [`HostDirectory`]: the lagging list of backend servers.
 //! * [`PlatformClient`]: all three over HTTP, with a deadline for each call.
+//! * [`SetPublisher`]: moves the head row to a new set of objects.
 //! * [`keys`]: the names of the rows that a fleet uses.
 //!
 //! # Example
@@ -29,6 +30,7 @@
 mod head;
 pub mod keys;
 mod objects;
+mod publication;
 mod table;
 
 pub use crate::{
@@ -37,5 +39,8 @@
     error::PlatformError,
     head::ConfigurationHead,
     objects::ObjectStore,
+    publication::{
+        PublicationDraft, PublicationOutcome, PublicationRecord, PublisherSettings, SetPublisher,
+    },
     table::{Condition, Row, TableAnswer, TableStore, Transaction, Write},
 };
