Answer operators on a listener of their own

Cause: metrics, status and events must not be readable by callers. Ruled out: paths under the front listener. Change: OpenTelemetry counters and histograms with bounded labels behind /metrics, a status board by duty behind /status, and time-line pages behind /events, on the operator address. Rocket set its own logger at every instance and printed to standard output, which belongs to `serve`; a silent logger stands there before it. Figures: tried by hand on one host; no test with real processes yet. Conclusion: operators and callers are apart.

--- a/crates/mangostep-daemon/src/context.rs
+++ b/crates/mangostep-daemon/src/context.rs
@@ -8,8 +8,12 @@
 };
 
 use {
-    arc_swap::ArcSwap, mangostep_objects::Snapshot, mangostep_platform::DirectoryEntry,
-    mangostep_telemetry::EventRecorder, serde::Serialize, slog::Logger,
+    arc_swap::ArcSwap,
+    mangostep_objects::Snapshot,
+    mangostep_platform::DirectoryEntry,
+    mangostep_telemetry::{EventRecorder, HostCounters, StatusBoard},
+    serde::Serialize,
+    slog::Logger,
 };
 
 use crate::{clock::HostClock, prelude::*, settings::ServeSettings};
@@ -25,6 +29,9 @@
     pub(crate) clock: HostClock,
     pub(crate) log: Logger,
     pub(crate) recorder: EventRecorder,
+    pub(crate) counters: HostCounters,
+    /// What duties tell operators.
+    pub(crate) status: StatusBoard,
     /// The configuration in force; written by the store thread.
     pub(crate) snapshot: ArcSwap<Snapshot>,
     /// The other hosts and who holds what; written by the store thread.
--- a/crates/mangostep-daemon/src/entry_host.rs
+++ b/crates/mangostep-daemon/src/entry_host.rs
@@ -8,7 +8,7 @@
 
 use {
     arc_swap::ArcSwap,
-    mangostep_telemetry::{EventRecorder, RecorderSettings, open_log},
+    mangostep_telemetry::{EventRecorder, HostCounters, RecorderSettings, StatusBoard, open_log},
     slog::info,
     tokio::sync::{mpsc, watch},
 };
@@ -17,7 +17,7 @@
     back,
     clock::HostClock,
     context::{HostAddresses, HostStanding},
-    front,
+    front, operator,
     peer::{self, PeerRing},
     prelude::*,
     settings::ServeSettings,
@@ -52,14 +52,19 @@
     ///
     /// Fails when a listener cannot be bound or a client not be set up.
     pub fn open(settings: ServeSettings) -> Result<Self, DaemonError> {
+        front::silence_library_log();
         let incarnation = rand::random::<u64>() >> 1;
         let log = open_log(&settings.host);
         let recorder = EventRecorder::new(&settings.host, incarnation, RecorderSettings::default());
+        let counters = HostCounters::open()
+            .map_err(|err| DaemonError::new("set up metrics", &settings.host, err))?;
         let context = Arc::new(HostContext {
             incarnation,
             clock: HostClock,
             log,
             recorder,
+            counters,
+            status: StatusBoard::default(),
             snapshot: ArcSwap::default(),
             fleet: ArcSwap::default(),
             servers: ArcSwap::default(),
@@ -75,6 +80,7 @@
         let peer_ring = PeerRing::new(context.clone(), peer_sender);
         let (back_ring, back_jobs) = mpsc::channel(capacity);
         let (bound_front, front_bound) = std::sync::mpsc::sync_channel(1);
+        let (operator_bound, operator_ready) = std::sync::mpsc::sync_channel(1);
         let (peer_listener, peer_bound) = peer::bind(context.settings.peer)?;
         let threads = vec![
             front::spawn(
@@ -86,16 +92,20 @@
             )?,
             peer::spawn(context.clone(), peer_listener, peer_asks, stopped.clone())?,
             back::spawn(context.clone(), back_jobs, stopped.clone())?,
-            store::spawn(context.clone(), stopped)?,
+            store::spawn(context.clone(), stopped.clone())?,
+            operator::spawn(context.clone(), operator_bound, stopped)?,
         ];
         let front = front_bound
             .recv()
             .map_err(|err| DaemonError::new("bind front listener", context.settings.front, err))?;
+        let operator = operator_ready.recv().map_err(|err| {
+            DaemonError::new("bind operator listener", context.settings.operator, err)
+        })?;
         let settings = &context.settings;
         let addresses = HostAddresses {
             front: settings.advertised_front.unwrap_or(front),
             peer: settings.advertised_peer.unwrap_or(peer_bound),
-            operator: settings.operator,
+            operator,
         };
         // It is set nowhere else.
         let _ = context.addresses.set(addresses);
--- a/crates/mangostep-daemon/src/front/mod.rs
+++ b/crates/mangostep-daemon/src/front/mod.rs
@@ -11,7 +11,14 @@
 use std::{net::SocketAddr, sync::mpsc::SyncSender, thread::JoinHandle};
 
 use {
-    rocket::{Config, config::Ident, fairing::AdHoc, http::Method, shield::Shield},
+    rocket::{
+        Build, Config, Rocket,
+        config::{Ident, Shutdown},
+        fairing::AdHoc,
+        http::Method,
+        shield::Shield,
+    },
+    slog::Logger,
     tokio::{runtime::Builder, sync::watch},
 };
 
@@ -54,34 +61,15 @@
         .collect();
     let run = move || {
         runtime.block_on(async move {
-            let announce = AdHoc::on_liftoff("announce", |rocket| {
-                Box::pin(async move {
-                    let config = rocket.config();
-                    // The opening thread is gone when it gave up.
-                    let _ = bound.send(SocketAddr::new(config.address, config.port));
-                })
-            });
             let rocket = rocket::custom(config)
                 .attach(Shield::new())
-                .attach(announce)
+                .attach(announce_address(bound))
                 .mount("/", routes);
-            let ready = match rocket.ignite().await {
-                Ok(ready) => ready,
-                Err(err) => {
-                    slog::error!(context.log, "front failed"; "step" => "ignite", "cause" => err.to_string());
-                    return;
-                }
-            };
-            let shutdown = ready.shutdown();
-            tokio::spawn(async move {
+            let stop = async move {
                 // An error means that the sender is gone, which is a stop too.
                 let _ = stopped.wait_for(|phase| *phase == StopPhase::Stopped).await;
-                shutdown.notify();
-            });
-            if let Err(err) = ready.launch().await {
-                slog::error!(context.log, "front failed"; "step" => "launch", "cause" => err.to_string());
-                // Rocket's errors panic when dropped unseen; `to_string` marks them seen.
-            }
+            };
+            launch(rocket, stop, &context.log).await;
         });
         runtime.shutdown_timeout(Duration::from_millis(200));
     };
@@ -91,16 +79,75 @@
         .map_err(|err| DaemonError::new("start thread", "front thread", err))
 }
 
-fn rocket_config(context: &HostContext) -> Config {
-    let settings = &context.settings;
-    let shutdown = rocket::config::Shutdown {
+/// Tells the address that a Rocket instance is bound to.
+pub(crate) fn announce_address(bound: SyncSender<SocketAddr>) -> AdHoc {
+    AdHoc::on_liftoff("announce", |rocket| {
+        Box::pin(async move {
+            let config = rocket.config();
+            // The opening thread is gone when it gave up.
+            let _ = bound.send(SocketAddr::new(config.address, config.port));
+        })
+    })
+}
+
+/// Runs a Rocket instance until `stop` is done.
+pub(crate) async fn launch(
+    rocket: Rocket<Build>,
+    stop: impl Future<Output = ()> + Send + 'static,
+    log: &Logger,
+) {
+    let result = match rocket.ignite().await {
+        Ok(ready) => {
+            let shutdown = ready.shutdown();
+            tokio::spawn(async move {
+                stop.await;
+                shutdown.notify();
+            });
+            ready.launch().await.map(drop)
+        }
+        Err(err) => Err(err),
+    };
+    if let Err(err) = result {
+        // The library panics on errors that are dropped unseen.
+        slog::error!(log, "listener failed"; "cause" => err.to_string());
+    }
+}
+
+/// Keeps Rocket from printing to standard output, which belongs to `serve`.
+///
+/// Rocket sets its own logger and level anew with every instance, whatever
+/// its settings say, unless a logger is there before.
+pub(crate) fn silence_library_log() {
+    struct SilentLogger;
+
+    impl log::Log for SilentLogger {
+        fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+            false
+        }
+
+        fn log(&self, _: &log::Record<'_>) {}
+
+        fn flush(&self) {}
+    }
+
+    // An error means that a logger is there already.
+    let _ = log::set_logger(&SilentLogger);
+}
+
+/// The library's own signal handling is off: `serve` handles signals.
+pub(crate) fn library_shutdown() -> Shutdown {
+    Shutdown {
         ctrlc: false,
         signals: Default::default(),
         grace: 1,
         mercy: 1,
         force: false,
         ..Default::default()
-    };
+    }
+}
+
+fn rocket_config(context: &HostContext) -> Config {
+    let settings = &context.settings;
     Config {
         address: settings.front.ip(),
         port: settings.front.port(),
@@ -108,7 +155,7 @@
         ident: Ident::none(),
         ip_header: None,
         log_level: rocket::config::LogLevel::Off,
-        shutdown,
+        shutdown: library_shutdown(),
         ..Config::release_default()
     }
 }
--- a/crates/mangostep-daemon/src/lib.rs
+++ b/crates/mangostep-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! * [`EntryHost`] opens and closes the whole process.
 //! * [`ServeSettings`] is all that it is told at its start.
+//! * The operator thread answers operators on a listener of its own.
 //! * The front thread takes requests by Rocket, the back thread sends them to
 //!   backend servers by reqwest, the peer thread speaks to other hosts, and
 //!   the store thread speaks to the platform.
@@ -35,6 +36,7 @@
 mod error;
 mod front;
 mod limits;
+mod operator;
 mod peer;
 mod prelude;
 mod refusal;
--- a/crates/mangostep-platform/tests/publication.rs
+++ b/crates/mangostep-platform/tests/publication.rs
@@ -17,11 +17,11 @@
 
 #[derive(Clone, Copy, PartialEq)]
 enum WriteFault {
-    LostRequest,
-    LostAnswer,
+    RequestLost,
+    AnswerLost,
     /// The write takes effect, its answer is lost, and another operator
     /// publishes before the first reads back.
-    LostAnswerThenRace,
+    AnswerLostThenRace,
 }
 
 impl LossyStore {
@@ -74,12 +74,12 @@
         let fault = self.faults.lock().unwrap().pop();
         match fault {
             None => Ok(self.apply(transaction)),
-            Some(WriteFault::LostRequest) => Err(lost()),
-            Some(WriteFault::LostAnswer) => {
+            Some(WriteFault::RequestLost) => Err(lost()),
+            Some(WriteFault::AnswerLost) => {
                 self.apply(transaction);
                 Err(lost())
             }
-            Some(WriteFault::LostAnswerThenRace) => {
+            Some(WriteFault::AnswerLostThenRace) => {
                 self.apply(transaction);
                 let head = r#"{"version":2,"digest":"d","publication":"racer"}"#;
                 let write = Write {
@@ -146,9 +146,9 @@
 #[tokio::test]
 async fn a_lost_answer_publishes_once_and_is_told_as_accepted() {
     for faults in [
-        vec![WriteFault::LostAnswer],
-        vec![WriteFault::LostRequest],
-        vec![WriteFault::LostAnswer, WriteFault::LostRequest],
+        vec![WriteFault::AnswerLost],
+        vec![WriteFault::RequestLost],
+        vec![WriteFault::AnswerLost, WriteFault::RequestLost],
     ] {
         let store = LossyStore::with_faults(&faults);
         let outcome = publisher(&store).publish(&draft("p1", 0)).await.unwrap();
@@ -159,7 +159,7 @@
 
 #[tokio::test]
 async fn a_lost_answer_is_settled_after_another_publication() {
-    let store = LossyStore::with_faults(&[WriteFault::LostAnswerThenRace]);
+    let store = LossyStore::with_faults(&[WriteFault::AnswerLostThenRace]);
     let outcome = publisher(&store).publish(&draft("p1", 0)).await.unwrap();
     assert_eq!(outcome, PublicationOutcome::Accepted(1));
     assert_eq!(publisher(&store).head().await.unwrap().version, 2);
@@ -167,7 +167,7 @@
 
 #[tokio::test]
 async fn a_store_that_never_answers_leaves_the_outcome_open() {
-    let store = LossyStore::with_faults(&[WriteFault::LostRequest; 3]);
+    let store = LossyStore::with_faults(&[WriteFault::RequestLost; 3]);
     assert!(publisher(&store).publish(&draft("p1", 0)).await.is_err());
     let again = publisher(&store).publish(&draft("p1", 0)).await.unwrap();
     assert_eq!(again, PublicationOutcome::Accepted(1));
--- a/crates/mangostep-telemetry/src/lib.rs
+++ b/crates/mangostep-telemetry/src/lib.rs
@@ -4,6 +4,8 @@
 //!
 //! * [`open_log`] sets up structured log lines on standard error.
 //! * [`EventRecorder`] keeps the latest time-line events in a bounded ring.
+//! * [`HostCounters`] counts by OpenTelemetry, with bounded labels.
+//! * [`StatusBoard`] holds what `mangostep status` shows.
 //! * [`LogicalClock`] stamps events so that causes sort before effects.
 //!
 //! # Example
@@ -16,10 +18,16 @@
 //! assert_eq!(recorder.since(0, 10).events.len(), 1);
 //! ```
 
+mod counters;
+mod error;
 mod event;
 mod log;
+mod status;
 
 pub use crate::{
+    counters::{CounterLabel, HostCounters},
+    error::TelemetryError,
     event::{EventPage, EventRecorder, LogicalClock, RecorderSettings, TimelineEvent},
     log::open_log,
+    status::StatusBoard,
 };
