Add the stand-ins and a harness that starts whole fleets

Cause: the other parts need real processes to test against: a platform, backend servers that fail grayly, and links that fail one way. Ruled out: a server library for the stand-ins, since an answer must be cut at any byte; heads are parsed by httparse. Change: binary standin with platform, backend and proxy; TestFleet, which takes a loopback range of its own, starts the real mangostep binary, and kills and reaps all processes when dropped or when the test itself is killed. mangostep serve now prints its addresses when bound, which it promised but did not. Conclusion: a request goes caller, entry host, backend server and back in four processes.

--- a/crates/mangostep/src/serve.rs
+++ b/crates/mangostep/src/serve.rs
@@ -34,6 +34,8 @@
         .build()
         .map_err(|err| err.to_string())?;
     let host = EntryHost::open(settings).map_err(|err| err.to_string())?;
+    let bound = serde_json::to_string(&host.addresses()).map_err(|err| err.to_string())?;
+    println!("{bound}");
     runtime
         .block_on(wait_for_signal())
         .map_err(|err| err.to_string())?;
--- /dev/null
+++ b/crates/standins/src/backend/mod.rs
@@ -0,0 +1,167 @@
+//! Stands in for a backend server that drains, starts cold, sheds load and
+//! fails grayly.
+
+mod control;
+mod records;
+mod state;
+mod work;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+
+use crate::{
+    backend::{state::BackendState, work::serve_work},
+    http::{HttpAnswer, HttpStream, RequestBody, RequestHead},
+};
+
+pub use crate::backend::{
+    control::{BackendControl, BackendSettings, GrayFault, GrayMode, HealthReport},
+    records::{BackendSummary, RunRecord, wall_us},
+};
+
+const CONTROL_BYTES_MAX: usize = 1 << 20;
+
+/// Serves one backend server until the process ends.
+#[derive(Debug)]
+pub struct BackendServer {
+    listener: TcpListener,
+    context: Arc<BackendContext>,
+}
+
+/// What the connections of one backend server share.
+#[derive(Debug)]
+pub(crate) struct BackendContext {
+    pub(crate) settings: BackendSettings,
+    pub(crate) state: Mutex<BackendState>,
+    /// The slots of the warm server.
+    pub(crate) slots: Semaphore,
+}
+
+impl BackendContext {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, BackendState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl BackendServer {
+    /// Binds the listener; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn open(listen: SocketAddr, settings: BackendSettings) -> std::io::Result<Self> {
+        let context = BackendContext {
+            slots: Semaphore::new(settings.slots),
+            state: Mutex::new(BackendState::new(&settings)),
+            settings,
+        };
+        Ok(BackendServer {
+            listener: TcpListener::bind(listen).await?,
+            context: Arc::new(context),
+        })
+    }
+
+    /// The address that was bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell it.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Takes connections for ever.
+    pub async fn run(self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(serve(self.context.clone(), stream));
+                }
+                Err(err) => {
+                    eprintln!("accept: {err}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+}
+
+async fn serve(context: Arc<BackendContext>, stream: TcpStream) {
+    context.lock().log.summary.connections += 1;
+    tokio::time::sleep(Duration::from_millis(context.settings.connect_ms)).await;
+    let mut stream = HttpStream::new(stream);
+    // A connection that breaks is the client's affair.
+    while let Ok(Some(head)) = stream.read_head().await {
+        let Ok(body) = stream.read_body(&head, CONTROL_BYTES_MAX).await else {
+            return;
+        };
+        let answer = match head.path() {
+            "/healthz" => answer_health(&context).await,
+            "/loadz" => answer_load(&context).await,
+            path if path.starts_with("/control") => Some(answer_control(&context, &head, &body)),
+            _ => match serve_work(&context, &mut stream, &head, &body).await {
+                work::WorkEnd::Answer(answer) => Some(answer),
+                work::WorkEnd::Gone => return,
+                work::WorkEnd::Reset => return stream.reset(),
+                work::WorkEnd::Hang => None,
+            },
+        };
+        let Some(answer) = answer else {
+            return stream.closed().await;
+        };
+        if stream.write_answer(&answer).await.is_err() || head.closes() {
+            return;
+        }
+    }
+}
+
+async fn answer_health(context: &BackendContext) -> Option<HttpAnswer> {
+    context.lock().log.summary.probes += 1;
+    tokio::time::sleep(Duration::from_millis(context.settings.probe_ms)).await;
+    let mut state = context.lock();
+    let healthy = match state.health {
+        HealthReport::True => !state.is_down() && !state.draining,
+        HealthReport::Healthy => true,
+        HealthReport::Unhealthy => false,
+        HealthReport::Hang => return None,
+    };
+    let answer = if healthy {
+        HttpAnswer::new(200, "healthy\n")
+    } else {
+        HttpAnswer::new(503, "unhealthy\n")
+    };
+    Some(state.mark(answer))
+}
+
+async fn answer_load(context: &BackendContext) -> Option<HttpAnswer> {
+    context.lock().log.summary.probes += 1;
+    tokio::time::sleep(Duration::from_millis(context.settings.probe_ms)).await;
+    let mut state = context.lock();
+    let running = state.load_claim.unwrap_or(state.inside as u64);
+    let load = serde_json::json!({ "running": running, "slots": context.settings.slots });
+    let answer = HttpAnswer::json(&load);
+    Some(state.mark(answer))
+}
+
+fn answer_control(context: &BackendContext, head: &RequestHead, body: &RequestBody) -> HttpAnswer {
+    match (head.method.as_str(), head.path()) {
+        ("POST", "/control") => match body.json::<BackendControl>() {
+            Ok(control) => {
+                context.lock().apply(control);
+                HttpAnswer::new(204, "")
+            }
+            Err(message) => HttpAnswer::new(400, message),
+        },
+        ("GET", "/control/records") => HttpAnswer::json(&context.lock().log.records),
+        ("GET", "/control/summary") => HttpAnswer::json(&context.lock().log.summary),
+        _ => HttpAnswer::new(404, ""),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/backend/work.rs
@@ -0,0 +1,213 @@
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    backend::{
+        BackendContext, GrayMode,
+        records::{RunRecord, wall_us},
+    },
+    http::{AnswerBody, CutPlace, HttpAnswer, HttpStream, RequestBody, RequestHead},
+};
+
+/// How long a server that fell over takes to say so.
+const DOWN_ANSWER: Duration = Duration::from_millis(300);
+
+/// Deadline of a request that names none.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(3600);
+
+/// Header names that may carry a key.
+const KEY_HEADERS: [&str; 4] = ["authorization", "mangostep-key", "x-api-key", "cookie"];
+
+/// How a request ended at the server.
+pub(crate) enum WorkEnd {
+    Answer(HttpAnswer),
+    Hang,
+    Reset,
+    /// The client went away.
+    Gone,
+}
+
+/// Counts a request as inside until it is dropped.
+struct InsideGuard(Arc<BackendContext>);
+
+impl InsideGuard {
+    fn open(context: &Arc<BackendContext>) -> Self {
+        context.lock().enter();
+        InsideGuard(context.clone())
+    }
+}
+
+impl Drop for InsideGuard {
+    fn drop(&mut self) {
+        self.0.lock().inside -= 1;
+    }
+}
+
+/// Runs one request of real work.
+pub(crate) async fn serve_work(
+    context: &Arc<BackendContext>,
+    stream: &mut HttpStream,
+    head: &RequestHead,
+    body: &RequestBody,
+) -> WorkEnd {
+    let arrival = Instant::now();
+    let time = head.header("x-deadline-ms").and_then(|ms| ms.parse().ok());
+    let end = arrival + time.map_or(DEADLINE_DEFAULT, Duration::from_millis);
+    note_keys(context, head);
+    if let Some(answer) = refuse(context, head) {
+        return WorkEnd::Answer(answer);
+    }
+    let _inside = InsideGuard::open(context);
+    if context.lock().is_down() {
+        tokio::time::sleep(DOWN_ANSWER).await;
+        return WorkEnd::Answer(echo(head, HttpAnswer::new(503, "down\n")));
+    }
+    let slot = tokio::select! {
+        slot = context.slots.acquire() => slot,
+        () = tokio::time::sleep_until(end.into()) => return WorkEnd::Answer(not_run(context, head)),
+        () = stream.closed() => return WorkEnd::Gone,
+    };
+    let fault = context.lock().draw_fault(head.path());
+    if fault == Some(GrayMode::Reset) {
+        return WorkEnd::Reset;
+    }
+    let id = head.header("x-request-id").unwrap_or_default();
+    let place = start(context, head);
+    let work = work_time(context, head, fault);
+    let finish = Instant::now() + work;
+    let cancelled = tokio::select! {
+        () = tokio::time::sleep_until(finish.min(end).into()) => false,
+        () = stream.closed() => true,
+    };
+    drop(slot);
+    context.lock().log.end(place, id, cancelled);
+    if cancelled {
+        return WorkEnd::Gone;
+    }
+    let answer = if finish > end {
+        echo(head, HttpAnswer::new(504, "deadline\n"))
+    } else {
+        usual_answer(context, head, body)
+    };
+    bend(context, head, fault, answer).await
+}
+
+fn note_keys(context: &BackendContext, head: &RequestHead) {
+    for (name, value) in &head.headers {
+        if KEY_HEADERS.contains(&name.as_str()) {
+            let pair = (name.clone(), value.clone());
+            context.lock().log.summary.key_headers.push(pair);
+        }
+    }
+}
+
+/// Refuses new work of a server that drains or sheds load.
+fn refuse(context: &BackendContext, head: &RequestHead) -> Option<HttpAnswer> {
+    let state = context.lock();
+    let sheds = state.shed_above.is_some_and(|most| state.inside >= most);
+    let refuses = state.draining || sheds;
+    drop(state);
+    refuses.then(|| not_run(context, head))
+}
+
+fn not_run(context: &BackendContext, head: &RequestHead) -> HttpAnswer {
+    let answer = echo(head, HttpAnswer::new(503, "not run\n")).with("x-not-run", 1);
+    let mut state = context.lock();
+    state.log.summary.refused += 1;
+    state.mark(answer)
+}
+
+fn echo(head: &RequestHead, answer: HttpAnswer) -> HttpAnswer {
+    match head.header("x-request-id") {
+        Some(id) => answer.with("x-request-id", id),
+        None => answer,
+    }
+}
+
+fn start(context: &BackendContext, head: &RequestHead) -> usize {
+    let text = |name| head.header(name).unwrap_or_default().to_owned();
+    let mut state = context.lock();
+    let record = RunRecord {
+        id: text("x-request-id"),
+        operation: text("x-operation"),
+        workspace: text("x-workspace"),
+        method: head.method.clone(),
+        path: head.path().to_owned(),
+        start_us: wall_us(),
+        end_us: 0,
+        concurrent: state.inside as u64,
+        cold: state.is_cold(),
+        cancelled: false,
+    };
+    state.log.start(record)
+}
+
+fn work_time(context: &BackendContext, head: &RequestHead, fault: Option<GrayMode>) -> Duration {
+    let work_ms = head.query_number("work_ms");
+    let work_ms = work_ms.unwrap_or_else(|| context.lock().work_ms);
+    let slow_ms = match fault {
+        Some(GrayMode::Slow(ms)) => ms,
+        _ => 0,
+    };
+    Duration::from_millis(work_ms + slow_ms)
+}
+
+/// The answer of a request that went well.
+///
+/// It tells what arrived, or has `?answer_bytes=` bytes; `?chunked=1` gives
+/// it no length, `?status=` another code.
+fn usual_answer(context: &BackendContext, head: &RequestHead, body: &RequestBody) -> HttpAnswer {
+    let told = serde_json::json!({
+        "server": context.settings.name,
+        "id": head.header("x-request-id"),
+        "operation": head.header("x-operation"),
+        "workspace": head.header("x-workspace"),
+        "deadline_ms": head.header("x-deadline-ms"),
+        "method": head.method,
+        "target": head.target,
+        "body_bytes": body.length,
+        "body_hash": body.hash,
+    });
+    let status = head.query_number("status").unwrap_or(200);
+    let mut answer = HttpAnswer::json(&told);
+    answer.status = u16::try_from(status).unwrap_or(200);
+    if let Some(length) = head.query_number("answer_bytes") {
+        answer.body = AnswerBody::Fill(length);
+    }
+    answer.chunked = head.query("chunked").is_some();
+    let answer = echo(head, answer).with("x-server", &context.settings.name);
+    context.lock().mark(answer)
+}
+
+/// Gives an answer the fault that was drawn for its request.
+async fn bend(
+    context: &BackendContext,
+    head: &RequestHead,
+    fault: Option<GrayMode>,
+    mut answer: HttpAnswer,
+) -> WorkEnd {
+    let id = head.header("x-request-id").unwrap_or_default().to_owned();
+    let before = std::mem::replace(&mut context.lock().last_id, id);
+    match fault {
+        None | Some(GrayMode::Slow(_) | GrayMode::Reset) => {}
+        Some(GrayMode::Error) => {
+            answer.status = 500;
+            answer.body = AnswerBody::Bytes(b"error\n".to_vec());
+        }
+        Some(GrayMode::Hang) => return WorkEnd::Hang,
+        Some(GrayMode::Late(ms)) => tokio::time::sleep(Duration::from_millis(ms)).await,
+        Some(GrayMode::WrongId) => {
+            answer.headers.retain(|(name, _)| name != "x-request-id");
+            let body = format!("{{\"id\":\"{before}\",\"crossed\":true}}");
+            answer.body = AnswerBody::Bytes(body.into_bytes());
+            answer = answer.with("x-request-id", before);
+        }
+        Some(GrayMode::Cut(place)) => {
+            answer.chunked = place == CutPlace::Chunked;
+            answer.cut = Some(place);
+        }
+    }
+    WorkEnd::Answer(answer)
+}
--- /dev/null
+++ b/crates/standins/src/http/mod.rs
@@ -0,0 +1,15 @@
+//! A small HTTP/1.1 server on plain TCP.
+//!
+//! The stand-ins must cut an answer at any byte, which server libraries
+//! prevent by design. Heads are parsed by `httparse`.
+
+mod answer;
+mod request;
+mod stream;
+
+pub use crate::http::answer::CutPlace;
+pub(crate) use crate::http::{
+    answer::{AnswerBody, HttpAnswer},
+    request::{RequestBody, RequestHead},
+    stream::HttpStream,
+};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,22 @@
 //! Stand-ins for the outside systems, experiments and process tests.
+//!
+//! Nothing here is part of the shipped binary. The stand-ins are small fakes
+//! of what lies outside of the system; each runs as a process of its own, so
+//! that a test can pause, kill or cut off any of them.
+//!
+//! # Parts
+//!
+//! * [`platform`]: table service, object store and host directory.
+//! * [`backend`]: a backend server with slots, cold start and gray failures.
+//! * [`proxy`]: a TCP forwarder with faults by source IP number.
+//! * [`fleet`]: [`fleet::TestFleet`] starts all of these and real entry hosts.
+
+mod error;
+mod http;
+
+pub mod backend;
+pub mod fleet;
+pub mod platform;
+pub mod proxy;
+
+pub use crate::{error::StandinError, http::CutPlace};
--- /dev/null
+++ b/crates/standins/src/platform/control.rs
@@ -0,0 +1,130 @@
+use std::collections::BTreeMap;
+
+use {
+    mangostep_platform::DirectoryEntry,
+    serde::{Deserialize, Serialize},
+};
+
+/// One of the platform's services.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlatformPart {
+    /// The table service.
+    Table,
+    /// The object store.
+    Objects,
+    /// The host directory.
+    Directory,
+}
+
+/// How a service that is away shows itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AwayMode {
+    /// The connection is reset before the request takes effect.
+    Refuse,
+    /// The request takes no effect and is never answered.
+    Hang,
+}
+
+/// A fault of the platform, for some clients and one of its services.
+///
+/// The first fault that fits a request is the one that it gets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFault {
+    /// Clients that it concerns; all when empty.
+    pub clients: Vec<String>,
+    /// Service that it concerns; all when absent.
+    pub part: Option<PlatformPart>,
+    /// Wait before the request takes effect, in milliseconds.
+    pub slow_ms: u64,
+    /// Wait between the effect and the answer, in milliseconds.
+    pub slow_answer_ms: u64,
+    /// Whether the service is away, and how.
+    pub away: Option<AwayMode>,
+    /// The request takes effect, and the connection is reset in place of an
+    /// answer.
+    pub lose_answer: bool,
+    /// Requests until the fault ends by itself; no end when absent.
+    pub requests: Option<u64>,
+}
+
+/// A change of the host directory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DirectoryChange {
+    /// Adds or replaces an entry.
+    Put(DirectoryEntry),
+    /// Removes an entry.
+    Remove {
+        /// Service of the entry.
+        service: String,
+        /// Name of the entry.
+        name: String,
+    },
+    /// Marks an entry as leaving.
+    MarkLeaving {
+        /// Service of the entry.
+        service: String,
+        /// Name of the entry.
+        name: String,
+    },
+}
+
+/// The body of `POST /control`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformControl {
+    /// Replaces all faults.
+    pub faults: Option<Vec<PlatformFault>>,
+    /// Time until a change of the directory shows, in milliseconds.
+    pub directory_lag_ms: Option<u64>,
+    /// Changes of the directory, in their order.
+    pub directory: Vec<DirectoryChange>,
+    /// Sets all counters to zero.
+    pub clear_counts: bool,
+}
+
+/// What one client asked of the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientCounts {
+    /// Transactions.
+    pub transactions: u64,
+    /// Rows that were written.
+    pub row_writes: u64,
+    /// Rows that were returned.
+    pub row_reads: u64,
+    /// Bytes of the rows that were returned.
+    pub row_read_bytes: u64,
+    /// Objects that were stored.
+    pub object_writes: u64,
+    /// Objects that were fetched.
+    pub object_reads: u64,
+    /// Listings of the directory.
+    pub listings: u64,
+}
+
+/// The answer to `GET /control/counts`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCounts {
+    /// Counters by the client's name.
+    pub clients: BTreeMap<String, ClientCounts>,
+}
+
+impl PlatformCounts {
+    /// The sum over all clients.
+    pub fn total(&self) -> ClientCounts {
+        let mut sum = ClientCounts::default();
+        for counts in self.clients.values() {
+            sum.transactions += counts.transactions;
+            sum.row_writes += counts.row_writes;
+            sum.row_reads += counts.row_reads;
+            sum.row_read_bytes += counts.row_read_bytes;
+            sum.object_writes += counts.object_writes;
+            sum.object_reads += counts.object_reads;
+            sum.listings += counts.listings;
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/mod.rs
@@ -0,0 +1,187 @@
+//! Stands in for the platform: table service, object store, host directory.
+
+mod control;
+mod directory;
+mod state;
+mod table;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use {
+    mangostep_platform::Transaction,
+    tokio::net::{TcpListener, TcpStream},
+};
+
+use crate::{
+    http::{HttpAnswer, HttpStream, RequestBody, RequestHead},
+    platform::state::PlatformState,
+};
+
+pub use crate::platform::control::{
+    AwayMode, ClientCounts, DirectoryChange, PlatformControl, PlatformCounts, PlatformFault,
+    PlatformPart,
+};
+
+const BODY_BYTES_MAX: usize = 256 << 20;
+
+/// Serves the platform until the process ends.
+#[derive(Debug)]
+pub struct PlatformServer {
+    listener: TcpListener,
+    state: Arc<Mutex<PlatformState>>,
+}
+
+impl PlatformServer {
+    /// Binds the listener; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn open(listen: SocketAddr) -> std::io::Result<Self> {
+        Ok(PlatformServer {
+            listener: TcpListener::bind(listen).await?,
+            state: Arc::default(),
+        })
+    }
+
+    /// The address that was bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell it.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Takes connections for ever.
+    pub async fn run(self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(serve(self.state.clone(), stream));
+                }
+                Err(err) => {
+                    eprintln!("accept: {err}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+}
+
+async fn serve(state: Arc<Mutex<PlatformState>>, stream: TcpStream) {
+    let mut stream = HttpStream::new(stream);
+    // A connection that breaks is the client's affair.
+    while let Ok(Some(head)) = stream.read_head().await {
+        let Ok(body) = stream.read_body(&head, BODY_BYTES_MAX).await else {
+            return;
+        };
+        let answer = match answer(&state, &head, &body).await {
+            PlatformReply::Answer(answer) => answer,
+            PlatformReply::Reset => return stream.reset(),
+            PlatformReply::Hang => return stream.closed().await,
+        };
+        if stream.write_answer(&answer).await.is_err() || head.closes() {
+            return;
+        }
+    }
+}
+
+/// What becomes of a request.
+enum PlatformReply {
+    Answer(HttpAnswer),
+    Reset,
+    Hang,
+}
+
+async fn answer(
+    state: &Mutex<PlatformState>,
+    head: &RequestHead,
+    body: &RequestBody,
+) -> PlatformReply {
+    let Some(part) = part_of(head.path()) else {
+        return PlatformReply::Answer(answer_control(state, head, body));
+    };
+    let client = head.header("x-client").unwrap_or_default();
+    let fault = lock(state).draw_fault(client, part);
+    match fault.away {
+        Some(AwayMode::Refuse) => return PlatformReply::Reset,
+        Some(AwayMode::Hang) => return PlatformReply::Hang,
+        None => {}
+    }
+    tokio::time::sleep(Duration::from_millis(fault.slow_ms)).await;
+    let answer = run(&mut lock(state), part, client, head, body);
+    tokio::time::sleep(Duration::from_millis(fault.slow_answer_ms)).await;
+    if fault.lose_answer {
+        return PlatformReply::Reset;
+    }
+    PlatformReply::Answer(answer)
+}
+
+fn part_of(path: &str) -> Option<PlatformPart> {
+    if path.starts_with("/table/") {
+        Some(PlatformPart::Table)
+    } else if path.starts_with("/objects/") {
+        Some(PlatformPart::Objects)
+    } else if path.starts_with("/directory/") {
+        Some(PlatformPart::Directory)
+    } else {
+        None
+    }
+}
+
+fn run(
+    state: &mut PlatformState,
+    part: PlatformPart,
+    client: &str,
+    head: &RequestHead,
+    body: &RequestBody,
+) -> HttpAnswer {
+    match part {
+        PlatformPart::Table => match body.json::<Transaction>() {
+            Ok(transaction) => HttpAnswer::json(&state.transact(client, &transaction)),
+            Err(message) => HttpAnswer::new(400, message),
+        },
+        PlatformPart::Objects => {
+            let name = head.path().trim_start_matches("/objects/");
+            if head.method == "PUT" {
+                state.put_object(client, name, &body.kept);
+                return HttpAnswer::new(204, "");
+            }
+            match state.object(client, name) {
+                Some(bytes) => HttpAnswer::new(200, bytes),
+                None => HttpAnswer::new(404, ""),
+            }
+        }
+        PlatformPart::Directory => {
+            let service = head.path().trim_start_matches("/directory/");
+            HttpAnswer::json(&state.list(client, service))
+        }
+    }
+}
+
+fn answer_control(
+    state: &Mutex<PlatformState>,
+    head: &RequestHead,
+    body: &RequestBody,
+) -> HttpAnswer {
+    match (head.method.as_str(), head.path()) {
+        ("POST", "/control") => match body.json::<PlatformControl>() {
+            Ok(control) => {
+                lock(state).apply(control);
+                HttpAnswer::new(204, "")
+            }
+            Err(message) => HttpAnswer::new(400, message),
+        },
+        ("GET", "/control/counts") => HttpAnswer::json(lock(state).counts()),
+        _ => HttpAnswer::new(404, ""),
+    }
+}
+
+fn lock(state: &Mutex<PlatformState>) -> MutexGuard<'_, PlatformState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standins/src/proxy/control.rs
@@ -0,0 +1,128 @@
+use std::net::{IpAddr, SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+/// What happens to the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LinkFlow {
+    /// They pass.
+    #[default]
+    Pass,
+    /// They are lost; once bytes of a connection were lost, nothing more of
+    /// that direction passes.
+    Cut,
+    /// They wait and arrive once the rule changes.
+    Hold,
+}
+
+/// What happens to new connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConnectMode {
+    /// They are joined to the target.
+    #[default]
+    Pass,
+    /// They stay open and nothing ever comes.
+    Hang,
+    /// They are reset.
+    Refuse,
+}
+
+/// The faults of the connections of one source.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkRule {
+    /// Bytes from the source to the target.
+    pub to_target: LinkFlow,
+    /// Bytes from the target to the source.
+    pub to_source: LinkFlow,
+    /// New connections.
+    pub connect: ConnectMode,
+    /// Delay of all bytes in each direction, in milliseconds.
+    pub delay_ms: u64,
+    /// No later rule changes this one.
+    #[serde(skip)]
+    pub(crate) is_final: bool,
+    #[serde(skip)]
+    pub(crate) is_reset: bool,
+}
+
+impl LinkRule {
+    /// Nothing passes from the source to the target; new connections hang.
+    pub const CUT_TO_TARGET: LinkRule = LinkRule {
+        to_target: LinkFlow::Cut,
+        to_source: LinkFlow::Pass,
+        connect: ConnectMode::Hang,
+        delay_ms: 0,
+        is_final: false,
+        is_reset: false,
+    };
+
+    /// Nothing passes from the target to the source; requests arrive.
+    pub const CUT_TO_SOURCE: LinkRule = LinkRule {
+        to_target: LinkFlow::Pass,
+        to_source: LinkFlow::Cut,
+        connect: ConnectMode::Pass,
+        ..LinkRule::CUT_TO_TARGET
+    };
+
+    /// Nothing passes either way.
+    pub const CUT_BOTH: LinkRule = LinkRule {
+        to_source: LinkFlow::Cut,
+        ..LinkRule::CUT_TO_TARGET
+    };
+
+    pub(crate) const SILENT: LinkRule = LinkRule {
+        is_final: true,
+        ..LinkRule::CUT_BOTH
+    };
+
+    pub(crate) const RESET: LinkRule = LinkRule {
+        is_reset: true,
+        ..LinkRule::SILENT
+    };
+}
+
+/// One command to a fault proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ProxyCommand {
+    /// Joins new connections to another target.
+    Target(SocketAddr),
+    /// Lifts all rules; connections that lost bytes stay as they are.
+    Clear,
+    /// Sets the rule of a source, or of all others when it is absent.
+    Rule {
+        /// IP number that connections come from.
+        source: Option<IpAddr>,
+        /// The rule, in place of the one before.
+        rule: LinkRule,
+    },
+    /// Makes the connections that are open now silent for good.
+    Silence {
+        /// IP number that connections come from; all when absent.
+        source: Option<IpAddr>,
+    },
+    /// Resets the connections that are open now.
+    Reset {
+        /// IP number that connections come from; all when absent.
+        source: Option<IpAddr>,
+    },
+}
+
+/// The body of a request to the control listener.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProxyControl {
+    /// Commands, run in their order as one step.
+    pub commands: Vec<ProxyCommand>,
+}
+
+/// Where a fault proxy listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProxyAddresses {
+    /// For the connections that it forwards.
+    pub address: SocketAddr,
+    /// For control.
+    pub control: SocketAddr,
+}
--- /dev/null
+++ b/crates/standins/src/proxy/mod.rs
@@ -0,0 +1,201 @@
+//! Forwards TCP connections to one target, with faults by source IP number.
+
+mod control;
+mod relay;
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+use crate::{
+    http::{HttpAnswer, HttpStream},
+    proxy::relay::{ProxyLink, relay},
+};
+
+pub use crate::proxy::control::{
+    ConnectMode, LinkFlow, LinkRule, ProxyAddresses, ProxyCommand, ProxyControl,
+};
+
+/// A fault proxy in front of one target.
+#[derive(Debug)]
+pub struct FaultProxy {
+    listener: TcpListener,
+    control: TcpListener,
+    state: Arc<Mutex<ProxyState>>,
+}
+
+#[derive(Debug)]
+struct ProxyState {
+    target: Option<SocketAddr>,
+    /// Rules of single sources go before the rule for all others.
+    rules: Vec<(IpAddr, LinkRule)>,
+    rule: LinkRule,
+    links: Vec<ProxyLink>,
+}
+
+impl FaultProxy {
+    /// Binds both listeners; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub async fn open(
+        listen: SocketAddr,
+        control: SocketAddr,
+        target: Option<SocketAddr>,
+    ) -> std::io::Result<Self> {
+        Ok(FaultProxy {
+            listener: TcpListener::bind(listen).await?,
+            control: TcpListener::bind(control).await?,
+            state: Arc::new(Mutex::new(ProxyState {
+                target,
+                rules: Vec::new(),
+                rule: LinkRule::default(),
+                links: Vec::new(),
+            })),
+        })
+    }
+
+    /// The addresses that were bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell them.
+    pub fn addresses(&self) -> std::io::Result<ProxyAddresses> {
+        Ok(ProxyAddresses {
+            address: self.listener.local_addr()?,
+            control: self.control.local_addr()?,
+        })
+    }
+
+    /// Takes connections for ever.
+    pub async fn run(self) {
+        let control = self.control;
+        tokio::spawn(run_control(self.state.clone(), control));
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, source)) => accept(&self.state, stream, source.ip()),
+                Err(err) => {
+                    eprintln!("accept: {err}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+}
+
+fn accept(state: &Mutex<ProxyState>, stream: TcpStream, source: IpAddr) {
+    let mut state = lock(state);
+    let rule = state.rule_of(source);
+    let target = match (rule.connect, state.target) {
+        (ConnectMode::Refuse, _) | (_, None) => {
+            // Without the option the connection ends in the usual way.
+            let _ = stream.set_zero_linger();
+            return;
+        }
+        (ConnectMode::Hang, _) => None,
+        (ConnectMode::Pass, target) => target,
+    };
+    state.links.retain(|link| !link.rule.is_closed());
+    let (sender, receiver) = watch::channel(rule);
+    state.links.push(ProxyLink {
+        source,
+        rule: sender,
+    });
+    tokio::spawn(relay(stream, target, receiver));
+}
+
+impl ProxyState {
+    fn rule_of(&self, source: IpAddr) -> LinkRule {
+        self.rules
+            .iter()
+            .find(|(other, _)| *other == source)
+            .map_or(self.rule, |(_, rule)| *rule)
+    }
+
+    fn run(&mut self, command: ProxyCommand) {
+        match command {
+            ProxyCommand::Target(target) => self.target = Some(target),
+            ProxyCommand::Clear => {
+                self.rules.clear();
+                self.rule = LinkRule::default();
+                self.spread_rules();
+            }
+            ProxyCommand::Rule { source, rule } => {
+                match source {
+                    Some(source) => {
+                        self.rules.retain(|(other, _)| *other != source);
+                        self.rules.push((source, rule));
+                    }
+                    None => self.rule = rule,
+                }
+                self.spread_rules();
+            }
+            ProxyCommand::Silence { source } => self.end_open(source, LinkRule::SILENT),
+            ProxyCommand::Reset { source } => self.end_open(source, LinkRule::RESET),
+        }
+    }
+
+    /// Gives every open connection the rule of its source.
+    fn spread_rules(&self) {
+        for link in &self.links {
+            let rule = self.rule_of(link.source);
+            link.rule.send_if_modified(|current| {
+                let changed = !current.is_final && *current != rule;
+                if changed {
+                    *current = rule;
+                }
+                changed
+            });
+        }
+    }
+
+    /// Gives the connections that are open now a rule for good.
+    fn end_open(&self, source: Option<IpAddr>, rule: LinkRule) {
+        for link in &self.links {
+            if source.is_none_or(|source| source == link.source) {
+                link.rule.send_replace(rule);
+            }
+        }
+    }
+}
+
+async fn run_control(state: Arc<Mutex<ProxyState>>, control: TcpListener) {
+    loop {
+        if let Ok((stream, _)) = control.accept().await {
+            tokio::spawn(serve_control(state.clone(), HttpStream::new(stream)));
+        }
+    }
+}
+
+async fn serve_control(state: Arc<Mutex<ProxyState>>, mut stream: HttpStream) {
+    while let Ok(Some(head)) = stream.read_head().await {
+        let Ok(body) = stream.read_body(&head, 1 << 20).await else {
+            return;
+        };
+        let answer = match body.json::<ProxyControl>() {
+            Ok(control) => {
+                let mut state = lock(&state);
+                for command in control.commands {
+                    state.run(command);
+                }
+                HttpAnswer::new(204, "")
+            }
+            Err(message) => HttpAnswer::new(400, message),
+        };
+        if stream.write_answer(&answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn lock(state: &Mutex<ProxyState>) -> MutexGuard<'_, ProxyState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standins/src/proxy/relay.rs
@@ -0,0 +1,144 @@
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    time::Instant,
+};
+
+use crate::proxy::{LinkFlow, LinkRule};
+
+const PIECE_BYTES: usize = 64 << 10;
+
+/// Pieces of one direction that may wait for their delay.
+const PIECES_MAX: usize = 64;
+
+/// An open connection.
+#[derive(Debug)]
+pub(crate) struct ProxyLink {
+    pub(crate) source: IpAddr,
+    pub(crate) rule: watch::Sender<LinkRule>,
+}
+
+/// Forwards one connection until both directions ended.
+///
+/// Without a target the connection stays open and silent.
+pub(crate) async fn relay(
+    stream: TcpStream,
+    target: Option<SocketAddr>,
+    rule: watch::Receiver<LinkRule>,
+) {
+    let _ = stream.set_nodelay(true);
+    let Some(target) = target else {
+        return hang(stream, rule).await;
+    };
+    // A target that cannot be reached ends the connection of the source.
+    let Ok(other) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = other.set_nodelay(true);
+    let (source_reader, source_writer) = stream.into_split();
+    let (target_reader, target_writer) = other.into_split();
+    let there = pump(source_reader, target_writer, rule.clone(), |rule| {
+        rule.to_target
+    });
+    let back = pump(target_reader, source_writer, rule, |rule| rule.to_source);
+    // One direction may end long before the other.
+    let _ = tokio::join!(there, back);
+}
+
+/// Keeps a connection open and silent until its source is gone.
+async fn hang(mut stream: TcpStream, mut rule: watch::Receiver<LinkRule>) {
+    tokio::select! {
+        _ = swallow(&mut stream) => {}
+        _ = rule.wait_for(|rule| rule.is_reset) => {
+            // Without the option the connection ends in the usual way.
+            let _ = stream.set_zero_linger();
+        }
+    }
+}
+
+async fn swallow(reader: &mut (impl AsyncReadExt + Unpin)) -> io::Result<()> {
+    let mut piece = vec![0; PIECE_BYTES];
+    while reader.read(&mut piece).await? > 0 {}
+    Ok(())
+}
+
+/// Moves the bytes of one direction by the rule that holds when they come.
+async fn pump(
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+    rule: watch::Receiver<LinkRule>,
+    flow_of: impl Fn(&LinkRule) -> LinkFlow + Copy,
+) {
+    let (sender, receiver) = mpsc::channel(PIECES_MAX);
+    let writing = write_pieces(writer, receiver, rule.clone());
+    let mut reset = rule.clone();
+    let reading = async move {
+        tokio::select! {
+            _ = read_pieces(reader, sender, rule, flow_of) => {}
+            _ = reset.wait_for(|rule| rule.is_reset) => {}
+        }
+    };
+    tokio::join!(reading, writing);
+}
+
+async fn read_pieces(
+    mut reader: OwnedReadHalf,
+    pieces: mpsc::Sender<(Instant, Vec<u8>)>,
+    mut rule: watch::Receiver<LinkRule>,
+    flow_of: impl Fn(&LinkRule) -> LinkFlow,
+) -> io::Result<()> {
+    let mut piece = vec![0; PIECE_BYTES];
+    loop {
+        let length = reader.read(&mut piece).await?;
+        // The rule's sender lives as long as the connection.
+        let _ = rule.wait_for(|rule| flow_of(rule) != LinkFlow::Hold).await;
+        if flow_of(&rule.borrow()) == LinkFlow::Cut {
+            if length > 0 {
+                swallow(&mut reader).await?;
+            }
+            // The end of the connection is lost as well.
+            let _ = rule.wait_for(|rule| rule.is_reset).await;
+            return Ok(());
+        }
+        if length == 0 {
+            return Ok(());
+        }
+        let due = Instant::now() + Duration::from_millis(rule.borrow().delay_ms);
+        if pieces.send((due, piece[..length].to_vec())).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+async fn write_pieces(
+    mut writer: OwnedWriteHalf,
+    mut pieces: mpsc::Receiver<(Instant, Vec<u8>)>,
+    mut rule: watch::Receiver<LinkRule>,
+) {
+    let moving = async {
+        while let Some((due, piece)) = pieces.recv().await {
+            tokio::time::sleep_until(due).await;
+            writer.write_all(&piece).await?;
+        }
+        writer.shutdown().await
+    };
+    let was_reset = tokio::select! {
+        biased;
+        _ = rule.wait_for(|rule| rule.is_reset) => true,
+        _ = moving => false,
+    };
+    if was_reset {
+        // Without the option the connection ends in the usual way.
+        let _ = writer.as_ref().set_zero_linger();
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/path.rs
@@ -0,0 +1,52 @@
+//! A request goes from a caller through an entry host to a backend server
+//! and back, each in its own process.
+
+use standins::{
+    StandinError,
+    fleet::{FleetSettings, NORTH_KEY, ServerGroup, TestFleet},
+};
+
+#[tokio::test]
+async fn a_request_goes_through_an_entry_host() -> Result<(), Box<dyn std::error::Error>> {
+    let fleet = open_small().await?;
+    let caller = fleet.caller(0, NORTH_KEY)?;
+    let answer = caller.post("/book/7?color=red", "two stones").await?;
+    assert_eq!(answer.status, 200);
+    let told: serde_json::Value = serde_json::from_slice(&answer.body)?;
+    assert_eq!(told["workspace"], "north");
+    assert_eq!(told["target"], "/book/7?color=red");
+    assert_eq!(told["body_bytes"], 10);
+    let records = fleet.records().await?;
+    let booked: Vec<_> = records.iter().filter(|run| run.path == "/book/7").collect();
+    assert_eq!(booked.len(), 1);
+    assert_eq!(booked[0].workspace, "north");
+    for server in &fleet.servers {
+        assert_eq!(server.summary().await?.key_headers, []);
+    }
+    fleet.close().await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_request_without_a_key_does_not_run() -> Result<(), Box<dyn std::error::Error>> {
+    let fleet = open_small().await?;
+    let caller = fleet.caller(0, "")?;
+    let refused = caller.post("/book/8", "").await?;
+    assert_eq!(refused.status, 401);
+    assert_eq!(refused.outcome.as_deref(), Some("not-run"));
+    let served = caller.get("/open/8").await?;
+    assert_eq!(served.status, 200);
+    let records = fleet.records().await?;
+    assert!(records.iter().all(|run| run.path != "/book/8"));
+    fleet.close().await;
+    Ok(())
+}
+
+async fn open_small() -> Result<TestFleet, StandinError> {
+    TestFleet::open(FleetSettings {
+        zones: vec!["a".to_owned()],
+        servers: vec![ServerGroup::default()],
+        ..Default::default()
+    })
+    .await
+}
