Define the host lease, its rows and its messages

Cause: hosts had no lease; whoever read the head counted as a holder. Change: policy types HostLease, TakerWatch, MemberSet and the planners; host and holder rows; the answerer's name in a vouch, and fetchFleet. Conclusion: interfaces stand; the daemon does not use them yet.

--- a/crates/mangostep-platform/src/keys.rs
+++ b/crates/mangostep-platform/src/keys.rs
@@ -22,24 +22,14 @@
     format!("{fleet}/members")
 }
 
-/// The row that names the homes of one shard of workspaces.
-pub fn shard(fleet: &str, shard: u16) -> String {
-    format!("{fleet}/shard/{shard:04}")
+/// The row that tells which groups of holders have changed.
+pub fn holder_index(fleet: &str) -> String {
+    format!("{fleet}/holders")
 }
 
-/// The beginning of the names of all shard rows.
-pub fn shards(fleet: &str) -> String {
-    format!("{fleet}/shard/")
-}
-
-/// The row that names the keeper of one cell.
-pub fn cell(fleet: &str, service: &str, zone: &str) -> String {
-    format!("{fleet}/cell/{service}/{zone}")
-}
-
-/// The beginning of the names of all cell rows.
-pub fn cells(fleet: &str) -> String {
-    format!("{fleet}/cell/")
+/// The row that holds one group of holders.
+pub fn holders(fleet: &str, group: &str) -> String {
+    format!("{fleet}/holders/{group}")
 }
 
 /// The object that holds the snapshot with a digest.
--- a/crates/mangostep-platform/src/lib.rs
+++ b/crates/mangostep-platform/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`TableStore`]: rows with versions, and transactions on them.
 //! * [`ObjectStore`]: immutable objects by name.
 //! * [`HostDirectory`]: the lagging list of backend servers.
+//! * [`HostRow`], [`HolderIndex`], [`HolderGroup`]: the rows of the host lease.
 //! * [`PlatformClient`]: all three over HTTP, with a deadline for each call.
 //! * [`SetPublisher`]: moves the head row to a new set of objects.
 //! * [`keys`]: the names of the rows that a fleet uses.
@@ -28,6 +29,8 @@
 mod directory;
 mod error;
 mod head;
+mod holder_rows;
+mod host_row;
 pub mod keys;
 mod objects;
 mod publication;
@@ -38,6 +41,8 @@
     directory::{DirectoryEntry, DirectoryState, HostDirectory},
     error::PlatformError,
     head::ConfigurationHead,
+    holder_rows::{HolderEntry, HolderGroup, HolderIndex, holder_group},
+    host_row::HostRow,
     objects::ObjectStore,
     publication::{
         PublicationDraft, PublicationOutcome, PublicationRecord, PublisherSettings, SetPublisher,
--- /dev/null
+++ b/crates/mangostep-policy/src/lease/holder_planner.rs
@@ -0,0 +1,120 @@
+use crate::rendezvous_order;
+
+/// A host that may be given something to hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LiveHost {
+    /// Name of the host.
+    pub name: String,
+    /// Start of its process.
+    pub incarnation: u64,
+    /// Availability zone that it stands in.
+    pub zone: String,
+}
+
+/// Decides which host should hold which resource.
+///
+/// Hosts that know the same live hosts decide alike. A shard has three homes,
+/// one an availability zone; when there are fewer zones, further hosts.
+///
+/// # Example
+///
+/// ```
+/// use mangostep_policy::{HolderPlanner, LiveHost};
+///
+/// let host = |name: &str, zone: &str| LiveHost {
+///     name: name.into(),
+///     incarnation: 1,
+///     zone: zone.into(),
+/// };
+/// let live = [host("h1", "a"), host("h2", "b"), host("h3", "c")];
+/// let planner = HolderPlanner::new(&live);
+/// let homes = planner.shard_homes(7);
+/// assert_eq!(homes.map(|home| home.unwrap().zone.as_str()), ["a", "b", "c"]);
+/// assert_eq!(planner.cell_keeper("ledger", "b").unwrap().name, "h2");
+/// ```
+#[derive(Clone, Debug)]
+pub struct HolderPlanner<'h> {
+    live: &'h [LiveHost],
+    zones: Vec<&'h str>,
+}
+
+/// Shards that workspaces are spread over.
+pub const SHARDS: u16 = 64;
+
+/// Homes of one shard.
+pub const HOMES: usize = 3;
+
+impl<'h> HolderPlanner<'h> {
+    /// A planner over the hosts that are live now.
+    pub fn new(live: &'h [LiveHost]) -> Self {
+        let mut zones: Vec<&str> = live.iter().map(|host| host.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        HolderPlanner { live, zones }
+    }
+
+    /// The host that should hold a resource, by the resource's name.
+    ///
+    /// Names are `shard/<n>/<k>` and `cell/<service>/<zone>`.
+    pub fn holder(&self, resource: &str) -> Option<&'h LiveHost> {
+        let mut parts = resource.split('/');
+        match (parts.next()?, parts.next()?, parts.next()?) {
+            ("shard", shard, home) => {
+                let home: usize = home.parse().ok()?;
+                *self.shard_homes(shard.parse().ok()?).get(home)?
+            }
+            ("cell", service, zone) => self.cell_keeper(service, zone),
+            _ => None,
+        }
+    }
+
+    /// The three homes of a shard.
+    pub fn shard_homes(&self, shard: u16) -> [Option<&'h LiveHost>; HOMES] {
+        let zones = self.shard_zones(shard);
+        let mut homes: [Option<&LiveHost>; HOMES] = [None; HOMES];
+        for home in 0..HOMES {
+            let resource = shard_name(shard, home);
+            let is_free = |host: &LiveHost| !homes.iter().flatten().any(|h| h.name == host.name);
+            let in_zone = |host: &LiveHost| zones.get(home).is_some_and(|zone| host.zone == *zone);
+            homes[home] = self
+                .first(&resource, |host| in_zone(host) && is_free(host))
+                .or_else(|| self.first(&resource, is_free))
+                .or_else(|| self.first(&resource, |_| true));
+        }
+        homes
+    }
+
+    fn shard_zones(&self, shard: u16) -> Vec<&'h str> {
+        if self.zones.len() <= HOMES {
+            return self.zones.clone();
+        }
+        let mut zones = rendezvous_order(&format!("shard/{shard}"), self.zones.iter().copied());
+        zones.truncate(HOMES);
+        zones.sort_unstable();
+        zones
+    }
+
+    /// The keeper of a service's cell in an availability zone.
+    pub fn cell_keeper(&self, service: &str, zone: &str) -> Option<&'h LiveHost> {
+        let resource = cell_name(service, zone);
+        self.first(&resource, |host| host.zone == zone)
+            .or_else(|| self.first(&resource, |_| true))
+    }
+
+    fn first(&self, resource: &str, is_fit: impl Fn(&LiveHost) -> bool) -> Option<&'h LiveHost> {
+        let fit = self.live.iter().filter(|host| is_fit(host));
+        let order = rendezvous_order(resource, fit.map(|host| host.name.as_str()));
+        let name = order.first()?;
+        self.live.iter().find(|host| host.name == *name)
+    }
+}
+
+/// The name of one home of a shard as a resource.
+pub fn shard_name(shard: u16, home: usize) -> String {
+    format!("shard/{shard}/{home}")
+}
+
+/// The name of a cell as a resource.
+pub fn cell_name(service: &str, zone: &str) -> String {
+    format!("cell/{service}/{zone}")
+}
--- /dev/null
+++ b/crates/mangostep-policy/src/lease/times.rs
@@ -0,0 +1,127 @@
+use std::time::Duration;
+
+use {
+    serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
+};
+
+/// All times of the host lease; every host of a fleet uses the same.
+///
+/// # Example
+///
+/// ```
+/// use mangostep_policy::LeaseTimes;
+///
+/// assert!(LeaseTimes::default().is_sound());
+/// assert!(LeaseTimes::for_890_hosts().is_sound());
+/// ```
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LeaseTimes {
+    /// Time between two renewals.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "renew_every_ms")]
+    pub renew_every: Duration,
+    /// An answer that takes longer does not confirm its renewal.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "answer_limit_ms")]
+    pub answer_limit: Duration,
+    /// Time without a confirmed renewal after which a host is in doubt.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "doubt_after_ms")]
+    pub doubt_after: Duration,
+    /// Length of the lease, from before a confirmed renewal was sent.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "lease_ms")]
+    pub lease: Duration,
+    /// How far vouching extends standing, from the oldest asking.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "vouch_ms")]
+    pub vouch: Duration,
+    /// Time between two askings of the members.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "ask_every_ms")]
+    pub ask_every: Duration,
+    /// Shortest time between two readings of the rows that count.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "reading_gap_min_ms")]
+    pub reading_gap_min: Duration,
+    /// Longest time between two readings of the rows that count.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "reading_gap_max_ms")]
+    pub reading_gap_max: Duration,
+    /// Largest difference of two hosts' clock rates, in thousandths.
+    pub drift_per_mille: u32,
+    /// Added to the wait of a taker.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "take_margin_ms")]
+    pub take_margin: Duration,
+}
+
+impl Default for LeaseTimes {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        LeaseTimes {
+            renew_every: ms(500),
+            answer_limit: ms(500),
+            doubt_after: ms(4_500),
+            lease: ms(6_500),
+            vouch: ms(2_000),
+            ask_every: ms(300),
+            reading_gap_min: ms(1_200),
+            reading_gap_max: ms(1_800),
+            drift_per_mille: 20,
+            take_margin: ms(400),
+        }
+    }
+}
+
+impl LeaseTimes {
+    /// Times for a fleet whose renewals would else exceed the table's writes.
+    pub fn for_890_hosts() -> Self {
+        let ms = Duration::from_millis;
+        LeaseTimes {
+            renew_every: ms(4_000),
+            answer_limit: ms(1_000),
+            doubt_after: ms(24_500),
+            lease: ms(29_500),
+            vouch: ms(5_000),
+            ask_every: ms(1_500),
+            reading_gap_min: ms(9_500),
+            reading_gap_max: ms(11_000),
+            take_margin: ms(1_000),
+            ..Default::default()
+        }
+    }
+
+    /// Tells whether the times keep to the inequalities of the proof.
+    ///
+    /// A member that confirms a renewal at every reading must never have
+    /// been in doubt, and vouching must be able to start before the lease
+    /// ends.
+    pub fn is_sound(&self) -> bool {
+        let two_gaps = self.reading_gap_max * 2 + self.answer_limit;
+        let two_renewals = self.renew_every * 2;
+        self.stretched(two_gaps) < self.doubt_after
+            && two_renewals < self.reading_gap_min
+            && self.reading_gap_min < self.reading_gap_max
+            && self.doubt_after + self.ask_every * 3 < self.lease
+            && self.doubt_after + self.vouch <= self.lease
+    }
+
+    /// How long the holder's row must have been seen unchanged.
+    pub fn take_wait(&self) -> Duration {
+        self.stretched(self.lease) + self.take_margin
+    }
+
+    /// How long a majority must have been seen renewing.
+    pub fn majority_wait(&self) -> Duration {
+        self.stretched(self.vouch) + self.reading_gap_max
+    }
+
+    /// A span of another host's clock, as long as it can look here.
+    fn stretched(&self, span: Duration) -> Duration {
+        span + span * self.drift_per_mille / 1000
+    }
+}
--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! # Parts
 //!
 //! * [`Machine`] is the trait that every policy type implements.
+//! * [`HostLease`], [`TakerWatch`] and [`MemberSet`] are the host lease.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
 //! # Example
@@ -21,8 +22,17 @@
 //! assert_eq!(later.since(start), Duration::from_secs(2));
 //! ```
 
+mod lease;
 mod machine;
 mod rendezvous;
 mod time;
 
-pub use crate::{machine::Machine, rendezvous::rendezvous_order, time::MonotonicTime};
+pub use crate::{
+    lease::{
+        Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
+        MemberPlanner, MemberSet, Renewal, SHARDS, Standing, TakerWatch, cell_name, shard_name,
+    },
+    machine::Machine,
+    rendezvous::rendezvous_order,
+    time::MonotonicTime,
+};
--- a/crates/mangostep-wire/schema/peer.capnp
+++ b/crates/mangostep-wire/schema/peer.capnp
@@ -107,6 +107,7 @@
   inDoubt @0 :Bool;
   version @1 :UInt64;       # configuration version in force
   memberSet @2 :UInt64;     # version of the member set that the answerer knows
+  host @3 :Text;            # name of the answerer, since addresses are reused
 }
 
 struct TimelineEvent {
@@ -133,4 +134,6 @@
   timeline @7 (stamp :UInt64, sinceSequence :UInt64, most :UInt32)
            -> (stamp :UInt64, missed :UInt64, events :List(TimelineEvent));
   status @8 (stamp :UInt64) -> (stamp :UInt64, json :Text);
+  fetchFleet @9 (stamp :UInt64) -> (stamp :UInt64, json :Text);
+  # Hosts, member set, holders and backend servers as the answerer knows them.
 }
--- a/crates/mangostep-wire/src/peer_capnp.rs
+++ b/crates/mangostep-wire/src/peer_capnp.rs
@@ -4705,7 +4705,7 @@
         }
     }
 
-    impl Reader<'_> {
+    impl<'a> Reader<'a> {
         pub fn reborrow(&self) -> Reader<'_> {
             Self { ..*self }
         }
@@ -4725,6 +4725,17 @@
         pub fn get_member_set(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -4734,7 +4745,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 3,
-                pointers: 0,
+                pointers: 1,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -4840,6 +4851,30 @@
         pub fn set_member_set(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
     }
 
     pub struct Pipeline {
@@ -4854,45 +4889,52 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(4, 212, 7, 49, 34, 113, 105, 197),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(27, 61, 141, 64, 141, 98, 190, 233),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 86, 111, 117, 99, 104),
             ::capnp::word(65, 110, 115, 119, 101, 114, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 68, 111, 117, 98, 116, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4918,12 +4960,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4942,9 +4993,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 2, 1];
         pub(crate) const TYPE_ID: u64 = 0xc569_7122_3107_d404;
     }
 }
@@ -5487,6 +5538,10 @@
         ::capnp::capability::Params<crate::peer_capnp::peer_link::status_params::Owned>;
     pub type StatusResults =
         ::capnp::capability::Results<crate::peer_capnp::peer_link::status_results::Owned>;
+    pub type FetchFleetParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer_link::fetch_fleet_params::Owned>;
+    pub type FetchFleetResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer_link::fetch_fleet_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -5647,6 +5702,15 @@
             self.client
                 .new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
         }
+        pub fn fetch_fleet_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer_link::fetch_fleet_params::Owned,
+            crate::peer_capnp::peer_link::fetch_fleet_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn ask_tokens(
@@ -5730,6 +5794,15 @@
                 "method peer_link::Server::status not implemented".to_string(),
             )))
         }
+        fn fetch_fleet(
+            self: ::capnp::capability::Rc<Self>,
+            _: FetchFleetParams,
+            _: FetchFleetResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer_link::Server::fetch_fleet not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -5857,6 +5930,14 @@
                     )),
                     false,
                 ),
+                9 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::fetch_fleet(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -12374,4 +12455,642 @@
             pub(crate) const TYPE_ID: u64 = 0x83aa_ec34_9cb5_8217;
         }
     }
+
+    pub mod fetch_fleet_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_stamp(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 1,
+                    pointers: 0,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_stamp(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(45, 175, 202, 208, 7, 232, 191, 236),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 76),
+                ::capnp::word(105, 110, 107, 46, 102, 101, 116, 99),
+                ::capnp::word(104, 70, 108, 101, 101, 116, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xecbf_e807_d0ca_af2d;
+        }
+    }
+
+    pub mod fetch_fleet_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_stamp(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_json(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_json(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 1,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_stamp(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_json(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_json(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_json(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_json(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(53, 115, 60, 47, 60, 134, 163, 208),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 76),
+                ::capnp::word(105, 110, 107, 46, 102, 101, 116, 99),
+                ::capnp::word(104, 70, 108, 101, 101, 116, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xd0a3_863c_2f3c_7335;
+        }
+    }
 }
