--- a/crates/mangostep-daemon/src/context.rs
+++ b/crates/mangostep-daemon/src/context.rs
@@ -8,11 +8,18 @@
 };
 
 use {
-    arc_swap::ArcSwap, mangostep_objects::Snapshot, mangostep_platform::DirectoryEntry,
-    mangostep_telemetry::EventRecorder, serde::Serialize, slog::Logger,
+    arc_swap::ArcSwap,
+    mangostep_objects::Snapshot,
+    mangostep_platform::DirectoryEntry,
+    mangostep_telemetry::EventRecorder,
+    serde::{Deserialize, Serialize},
+    slog::Logger,
 };
 
-use crate::{clock::HostClock, prelude::*, settings::ServeSettings};
+use crate::{
+    clock::HostClock, lease_desk::LeaseDesk, prelude::*, published::PublishedDesk,
+    settings::ServeSettings,
+};
 
 /// What the threads of one entry host share.
 ///
@@ -33,10 +40,18 @@
     /// thread.
     pub(crate) servers: ArcSwap<Vec<DirectoryEntry>>,
     pub(crate) standing: HostStanding,
+    /// The lease that `standing` follows from.
+    pub(crate) lease: LeaseDesk,
+    /// The configuration in force as it was published.
+    pub(crate) published: PublishedDesk,
+    /// Largest configuration version that the store has named.
+    pub(crate) head_version: AtomicU64,
     /// Where this host is reached; set once all listeners are bound.
     pub(crate) addresses: OnceLock<HostAddresses>,
     /// Set by a planned stop.
     pub(crate) leaving: AtomicBool,
+    /// Set once a planned stop has released all that the host held.
+    pub(crate) released: AtomicBool,
     /// Requests that run now.
     pub(crate) running: AtomicU64,
 }
@@ -82,7 +97,7 @@
 }
 
 /// Another entry host, or this one.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PeerHost {
     pub(crate) name: String,
     pub(crate) incarnation: u64,
@@ -102,6 +117,11 @@
 }
 
 impl HostContext {
+    /// The largest configuration version that the store has named.
+    pub(crate) fn head_version(&self) -> u64 {
+        self.head_version.load(Ordering::Acquire)
+    }
+
     /// The epoch under which this host holds a resource at `now`, if it does.
     ///
     /// Ask again right before acting: the process may have been paused since.
@@ -129,8 +149,8 @@
             .store(until.as_micros(), Ordering::Release);
     }
 
-    pub(crate) fn set_fresh_until(&self, until: MonotonicTime) {
+    pub(crate) fn extend_fresh_until(&self, until: MonotonicTime) {
         self.fresh_until_us
-            .store(until.as_micros(), Ordering::Release);
+            .fetch_max(until.as_micros(), Ordering::AcqRel);
     }
 }
--- a/crates/mangostep-daemon/src/entry_host.rs
+++ b/crates/mangostep-daemon/src/entry_host.rs
@@ -18,8 +18,10 @@
     clock::HostClock,
     context::{HostAddresses, HostStanding},
     front,
+    lease_desk::LeaseDesk,
     peer::{self, PeerRing},
     prelude::*,
+    published::PublishedDesk,
     settings::ServeSettings,
     store,
 };
@@ -39,10 +41,15 @@
     Running,
     /// Running requests may end, new ones are refused.
     Draining,
+    /// What the host holds goes to other hosts.
+    Releasing,
     /// Everything ends.
     Stopped,
 }
 
+/// Longest time that a stop waits for the table service.
+const RELEASE_LIMIT: Duration = Duration::from_secs(3);
+
 impl EntryHost {
     /// Starts all threads; the host serves once it has a configuration.
     ///
@@ -64,8 +71,12 @@
             fleet: ArcSwap::default(),
             servers: ArcSwap::default(),
             standing: HostStanding::default(),
+            lease: LeaseDesk::new(settings.lease.clone(), HostClock.now()),
+            published: PublishedDesk::default(),
+            head_version: AtomicU64::new(0),
             addresses: OnceLock::new(),
             leaving: AtomicBool::new(false),
+            released: AtomicBool::new(false),
             running: AtomicU64::new(0),
             settings,
         });
@@ -130,6 +141,11 @@
         while self.context.running.load(Ordering::Acquire) > 0 && self.context.clock.now() < end {
             std::thread::sleep(Duration::from_millis(10));
         }
+        self.stop.send_replace(StopPhase::Releasing);
+        let end = self.context.clock.now() + RELEASE_LIMIT;
+        while !self.context.released.load(Ordering::Acquire) && self.context.clock.now() < end {
+            std::thread::sleep(Duration::from_millis(10));
+        }
         self.stop.send_replace(StopPhase::Stopped);
         for thread in self.threads {
             // A thread that panicked has told so on standard error.
--- a/crates/mangostep-daemon/src/lib.rs
+++ b/crates/mangostep-daemon/src/lib.rs
@@ -34,13 +34,17 @@
 mod entry_host;
 mod error;
 mod front;
+mod lease_desk;
 mod limits;
 mod peer;
 mod prelude;
+mod published;
 mod refusal;
+mod relay;
 mod settings;
 mod slots;
 mod store;
+mod vouching;
 
 pub use crate::{
     context::HostAddresses, entry_host::EntryHost, error::DaemonError, settings::ServeSettings,
--- a/crates/mangostep-daemon/src/peer/gate.rs
+++ b/crates/mangostep-daemon/src/peer/gate.rs
@@ -13,7 +13,7 @@
     tokio_util::compat::TokioAsyncReadCompatExt,
 };
 
-use crate::{peer::PeerDuties, prelude::*};
+use crate::{peer::PeerDuties, prelude::*, relay::fleet_json};
 
 /// Takes connections of other entry hosts until the thread ends.
 pub(crate) async fn accept_peers(duties: Rc<PeerDuties>, listener: TcpListener) {
@@ -111,9 +111,46 @@
         context.recorder.clock().observe(params.get()?.get_stamp());
         let mut answer = results.get();
         answer.set_stamp(context.recorder.clock().tick());
-        answer
-            .init_answer()
-            .set_version(context.snapshot.load().version());
+        let mut answer = answer.init_answer();
+        answer.set_host(&context.settings.host);
+        answer.set_in_doubt(context.lease.is_in_doubt(context.clock.now()));
+        answer.set_version(context.snapshot.load().version());
+        answer.set_member_set(context.lease.members().version());
+        Ok(())
+    }
+
+    async fn fetch_snapshot(
+        self: Rc<Self>,
+        params: peer_link::FetchSnapshotParams,
+        mut results: peer_link::FetchSnapshotResults,
+    ) -> Result<(), capnp::Error> {
+        let context = &self.duties.context;
+        let params = params.get()?;
+        context.recorder.clock().observe(params.get_stamp());
+        let mut answer = results.get();
+        answer.set_stamp(context.recorder.clock().tick());
+        let Some(published) = context.published.current() else {
+            return Ok(());
+        };
+        answer.set_version(published.head.version);
+        if published.head.version > params.get_have_version() {
+            answer.set_digest(&published.head.digest);
+            answer.set_publication(&published.head.publication);
+            answer.set_body(&published.body);
+        }
+        Ok(())
+    }
+
+    async fn fetch_fleet(
+        self: Rc<Self>,
+        params: peer_link::FetchFleetParams,
+        mut results: peer_link::FetchFleetResults,
+    ) -> Result<(), capnp::Error> {
+        let context = &self.duties.context;
+        context.recorder.clock().observe(params.get()?.get_stamp());
+        let mut answer = results.get();
+        answer.set_stamp(context.recorder.clock().tick());
+        answer.set_json(fleet_json(context));
         Ok(())
     }
 }
--- a/crates/mangostep-daemon/src/peer/mod.rs
+++ b/crates/mangostep-daemon/src/peer/mod.rs
@@ -15,7 +15,8 @@
 };
 
 use crate::{
-    entry_host::StopPhase, limits::LimitDuty, peer::ring::PeerAsk, prelude::*, slots::SlotDuty,
+    entry_host::StopPhase, limits::LimitDuty, peer::ring::PeerAsk, prelude::*, relay::RelayDuty,
+    slots::SlotDuty, vouching::VouchDuty,
 };
 
 pub(crate) use crate::peer::{links::PeerLinks, ring::PeerRing};
@@ -26,13 +27,20 @@
     pub(crate) links: Rc<PeerLinks>,
     pub(crate) limits: LimitDuty,
     pub(crate) slots: SlotDuty,
+    pub(crate) relay: Rc<RelayDuty>,
+    pub(crate) vouching: Rc<VouchDuty>,
 }
 
 impl PeerDuties {
     fn new(context: &Arc<HostContext>) -> Rc<Self> {
+        let links = Rc::new(PeerLinks::new(context.clone()));
+        let relay = Rc::new(RelayDuty::new(context.clone(), links.clone()));
+        let vouching = VouchDuty::new(context.clone(), links.clone(), relay.clone());
         Rc::new(PeerDuties {
             context: context.clone(),
-            links: Rc::new(PeerLinks::new(context.clone())),
+            links,
+            relay,
+            vouching: Rc::new(vouching),
             limits: LimitDuty::new(context.clone()),
             slots: SlotDuty::new(context.clone()),
         })
@@ -73,6 +81,8 @@
                     slog::error!(context.log, "peer listener failed"; "cause" => err.to_string());
                 }
             }
+            tokio::task::spawn_local(duties.vouching.clone().run());
+            tokio::task::spawn_local(duties.relay.clone().run());
             tokio::task::spawn_local(serve_asks(duties, asks));
             // An error means that the sender is gone, which is a stop too.
             let _ = stopped.wait_for(|phase| *phase == StopPhase::Stopped).await;
--- a/crates/mangostep-daemon/src/settings.rs
+++ b/crates/mangostep-daemon/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     mangostep_platform::PlatformSettings,
+    mangostep_policy::LeaseTimes,
     serde::{Deserialize, Serialize},
     serde_with::{DurationMilliSeconds, serde_as},
 };
@@ -52,10 +53,11 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lookup_keep_ms")]
     pub lookup_keep: Duration,
-    /// Time between two renewals of the host's lease.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "renew_every_ms")]
-    pub renew_every: Duration,
+    /// Times of the host lease, alike on all hosts of the fleet.
+    pub lease: LeaseTimes,
+    /// Peer addresses of a few other hosts, asked at a start while the
+    /// platform is away.
+    pub seeds: Vec<SocketAddr>,
 }
 
 impl Default for ServeSettings {
@@ -79,7 +81,8 @@
             header_bytes: 32 << 10,
             replay_bytes: 64 << 10,
             lookup_keep: Duration::from_secs(3),
-            renew_every: Duration::from_millis(500),
+            lease: LeaseTimes::default(),
+            seeds: Vec::new(),
         }
     }
 }
--- a/crates/mangostep-daemon/src/store/mod.rs
+++ b/crates/mangostep-daemon/src/store/mod.rs
@@ -1,25 +1,49 @@
 //! The store thread: everything that goes to the platform.
+//!
+//! Its loops share one [`StoreDuty`]: renewal of the host's row, readings of
+//! all host rows, the holders of resources, the configuration, and the
+//! directory of backend servers.
 
-use std::{sync::atomic::Ordering, thread::JoinHandle};
+mod holders;
+mod leaving;
+mod reading;
+mod renewal;
+mod spread;
+mod table_view;
+
+use std::{cell::RefCell, sync::atomic::Ordering, thread::JoinHandle};
 
 use {
-    mangostep_objects::{ObjectSet, Snapshot},
-    mangostep_platform::{
-        ConfigurationHead, HostDirectory, ObjectStore, PlatformClient, PlatformError,
-        PlatformSettings, TableStore, Transaction, keys,
+    mangostep_platform::{HostDirectory, PlatformClient, PlatformError, PlatformSettings},
+    tokio::{
+        runtime::Builder,
+        sync::{Notify, watch},
     },
-    tokio::{runtime::Builder, sync::watch},
 };
 
-use crate::{entry_host::StopPhase, prelude::*};
+use crate::{entry_host::StopPhase, prelude::*, store::table_view::TableView};
+
+/// Time between two readings of the directory.
+const DIRECTORY_EVERY: Duration = Duration::from_millis(500);
 
 /// How long a reading of the head keeps keys and configuration fresh.
 const FRESH_FOR: Duration = Duration::from_secs(5);
 
+/// What the loops of the store thread share.
+struct StoreDuty {
+    context: Arc<HostContext>,
+    client: PlatformClient,
+    view: RefCell<TableView>,
+    /// Wakes the loop that fetches snapshots.
+    head_moved: Notify,
+    /// Head last read, with the time of asking.
+    head: RefCell<Option<(MonotonicTime, mangostep_platform::ConfigurationHead)>>,
+}
+
 /// Starts the store thread.
 pub(crate) fn spawn(
     context: Arc<HostContext>,
-    mut stopped: watch::Receiver<StopPhase>,
+    stopped: watch::Receiver<StopPhase>,
 ) -> Result<JoinHandle<()>, DaemonError> {
     let settings = PlatformSettings {
         client: context.settings.host.clone(),
@@ -33,12 +57,14 @@
         .build()
         .map_err(|err| DaemonError::new("start runtime", "store thread", err))?;
     let run = move || {
-        runtime.block_on(async move {
-            tokio::select! {
-                () = watch_platform(&context, &client) => {}
-                _ = stopped.wait_for(|phase| *phase == StopPhase::Stopped) => {}
-            }
-        });
+        let duty = StoreDuty {
+            view: RefCell::new(TableView::new(&context.settings.lease)),
+            head_moved: Notify::new(),
+            head: RefCell::new(None),
+            context,
+            client,
+        };
+        runtime.block_on(duty.run(stopped));
     };
     std::thread::Builder::new()
         .name("store".to_owned())
@@ -46,59 +72,60 @@
         .map_err(|err| DaemonError::new("start thread", "store thread", err))
 }
 
-async fn watch_platform(context: &HostContext, client: &PlatformClient) {
-    loop {
-        if let Err(err) = read_head(context, client).await {
-            slog::debug!(context.log, "head not read"; "cause" => err.to_string());
+impl StoreDuty {
+    async fn run(&self, mut stopped: watch::Receiver<StopPhase>) {
+        let mut releasing = stopped.clone();
+        let serve = async {
+            self.wait_for_addresses().await;
+            tokio::join!(
+                self.renew_row(),
+                self.read_rows(),
+                self.fetch_snapshots(),
+                self.read_directory(),
+            );
+        };
+        let release = async {
+            // An error means that the sender is gone, which is a stop too.
+            let _ = releasing
+                .wait_for(|phase| *phase >= StopPhase::Releasing)
+                .await;
+        };
+        tokio::select! {
+            () = serve => {}
+            () = release => {}
         }
-        if let Err(err) = read_servers(context, client).await {
-            slog::debug!(context.log, "directory not read"; "cause" => err.to_string());
+        tokio::select! {
+            () = self.leave() => {}
+            _ = stopped.wait_for(|phase| *phase == StopPhase::Stopped) => {}
         }
-        tokio::time::sleep(context.settings.renew_every).await;
-        if context.leaving.load(Ordering::Acquire) {
-            tokio::time::sleep(context.settings.renew_every).await;
+        self.context.released.store(true, Ordering::Release);
+    }
+
+    /// The row names addresses that are known once all listeners are bound.
+    async fn wait_for_addresses(&self) {
+        while self.context.addresses.get().is_none() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
-}
 
-async fn read_head(context: &HostContext, client: &PlatformClient) -> Result<(), PlatformError> {
-    let fleet = &context.settings.fleet;
-    let asked = context.clock.now();
-    let read = Transaction {
-        reads: vec![keys::head(fleet)],
-        ..Default::default()
-    };
-    let answer = client.transact(&read).await?;
-    let Some(text) = answer.rows.first().and_then(|row| row.value.as_deref()) else {
-        return Ok(());
-    };
-    let head = ConfigurationHead::parse(text)?;
-    if head.version > context.snapshot.load().version() {
-        let name = keys::snapshot(fleet, &head.digest);
-        let Some(body) = client.get(&name).await? else {
-            return Ok(());
-        };
-        let set: ObjectSet = serde_json::from_slice(&body)
-            .map_err(|err| PlatformError::new("read snapshot", &name, false, err))?;
-        context
-            .snapshot
-            .store(Arc::new(Snapshot::compile(head.version, &set)));
-        context.recorder.record(
-            "version-in-force",
-            &[("version", &head.version.to_string())],
-        );
+    async fn read_directory(&self) {
+        loop {
+            if let Err(err) = self.read_servers().await {
+                slog::debug!(self.context.log, "directory not read"; "cause" => err.to_string());
+            }
+            tokio::time::sleep(DIRECTORY_EVERY).await;
+        }
     }
-    context.standing.set_held_until(asked + FRESH_FOR);
-    context.standing.set_fresh_until(asked + FRESH_FOR);
-    Ok(())
-}
 
-async fn read_servers(context: &HostContext, client: &PlatformClient) -> Result<(), PlatformError> {
-    let snapshot = context.snapshot.load_full();
-    let mut servers = Vec::new();
-    for service in snapshot.services() {
-        servers.extend(client.list(&service.name).await?);
+    async fn read_servers(&self) -> Result<(), PlatformError> {
+        let snapshot = self.context.snapshot.load_full();
+        let mut servers = Vec::new();
+        for service in snapshot.services() {
+            servers.extend(self.client.list(&service.name).await?);
+        }
+        if snapshot.version() > 0 {
+            self.context.servers.store(Arc::new(servers));
+        }
+        Ok(())
     }
-    context.servers.store(Arc::new(servers));
-    Ok(())
 }
--- /dev/null
+++ b/crates/mangostep-daemon/src/store/table_view.rs
@@ -0,0 +1,212 @@
+use std::collections::HashMap;
+
+use {
+    mangostep_platform::{HolderGroup, HolderIndex, HostRow, Row},
+    mangostep_policy::{
+        HostStamp, LeaseTimes, LiveHost, MemberPlanner, MemberSet, MonotonicTime, TakerWatch,
+    },
+};
+
+use crate::{
+    context::{FleetView, HostContext, PeerHost, ResourceHolder},
+    prelude::*,
+};
+
+/// What the store thread knows of the fleet's rows.
+#[derive(Debug)]
+pub(super) struct TableView {
+    /// Version of the host's own row as this process wrote it last.
+    pub(super) own_version: u64,
+    /// Whether this process has written the row.
+    pub(super) has_written: bool,
+    pub(super) index: HolderIndex,
+    pub(super) index_version: u64,
+    pub(super) groups: HashMap<String, KnownGroup>,
+    /// Host rows of the latest reading, with their versions.
+    pub(super) rows: HashMap<String, KnownRow>,
+    pub(super) members_version: u64,
+    pub(super) watch: TakerWatch,
+    pub(super) member_planner: MemberPlanner,
+    /// Since when holders were seen to be missing or lapsed.
+    pub(super) vacant_since: Option<MonotonicTime>,
+    /// Since when another host would be the better holder of the own
+    /// resources, and which hosts were live then.
+    pub(super) moves: Option<(MonotonicTime, Vec<LiveHost>)>,
+}
+
+/// A group of holders with its row's version.
+#[derive(Clone, Debug, Default)]
+pub(super) struct KnownGroup {
+    pub(super) version: u64,
+    pub(super) group: HolderGroup,
+}
+
+/// A host's row with its version.
+#[derive(Clone, Debug)]
+pub(super) struct KnownRow {
+    pub(super) version: u64,
+    pub(super) row: HostRow,
+}
+
+impl TableView {
+    pub(super) fn new(times: &LeaseTimes) -> Self {
+        TableView {
+            own_version: 0,
+            has_written: false,
+            index: HolderIndex::default(),
+            index_version: 0,
+            groups: HashMap::new(),
+            rows: HashMap::new(),
+            members_version: 0,
+            watch: TakerWatch::new(times.clone()),
+            member_planner: MemberPlanner::default(),
+            vacant_since: None,
+            moves: None,
+        }
+    }
+
+    /// Takes the index of holders; an unreadable one changes nothing.
+    pub(super) fn take_index(&mut self, row: Option<&Row>) {
+        let Some(row) = row else { return };
+        if row.version < self.index_version {
+            return;
+        }
+        let text = row.value.as_deref().unwrap_or("{}");
+        if let Ok(index) = HolderIndex::parse(text) {
+            self.index = index;
+            self.index_version = row.version;
+        }
+    }
+
+    /// The groups whose generation the index names differently.
+    pub(super) fn stale_groups(&self) -> Vec<String> {
+        self.index
+            .groups
+            .iter()
+            .filter(|(name, generation)| {
+                let known = self.groups.get(*name);
+                known.is_none_or(|known| known.group.generation < **generation)
+            })
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Takes a group's row unless a later one is known.
+    pub(super) fn take_group(&mut self, name: &str, row: &Row) {
+        let Some(text) = row.value.as_deref() else {
+            return;
+        };
+        let Ok(group) = HolderGroup::parse(text) else {
+            return;
+        };
+        let known = self.groups.entry(name.to_owned()).or_default();
+        if group.generation >= known.group.generation {
+            *known = KnownGroup {
+                version: row.version,
+                group,
+            };
+        }
+    }
+
+    /// Takes a reading of all host rows; returns whether it counted.
+    pub(super) fn take_rows(
+        &mut self,
+        asked: MonotonicTime,
+        now: MonotonicTime,
+        rows: &[KnownRow],
+    ) -> bool {
+        let stamps: Vec<HostStamp> = rows.iter().map(|known| stamp_of(&known.row)).collect();
+        let counted = self.watch.read(asked, now, &stamps);
+        let by_name = rows
+            .iter()
+            .map(|known| (known.row.host.clone(), known.clone()));
+        self.rows = by_name.collect();
+        counted
+    }
+
+    /// Names of the hosts whose rows say that they leave.
+    pub(super) fn leaving(&self) -> Vec<String> {
+        let leaving = self.rows.values().filter(|known| known.row.leaving);
+        leaving.map(|known| known.row.host.clone()).collect()
+    }
+
+    /// Members that may be given something to hold, sorted by name.
+    pub(super) fn live_hosts(&self, now: MonotonicTime, members: &MemberSet) -> Vec<LiveHost> {
+        let mut live: Vec<LiveHost> = self
+            .rows
+            .values()
+            .map(|known| &known.row)
+            .filter(|row| members.contains(&row.host) && !row.leaving)
+            .filter(|row| self.watch.is_live(now, &row.host))
+            .map(|row| LiveHost {
+                name: row.host.clone(),
+                incarnation: row.incarnation,
+                zone: row.zone.clone(),
+            })
+            .collect();
+        live.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        live
+    }
+
+    /// Publishes the view to the other threads.
+    pub(super) fn publish(&self, context: &HostContext, now: MonotonicTime, members: &MemberSet) {
+        let is_lapsed = |row: &HostRow| {
+            members.version() > 0
+                && self
+                    .watch
+                    .has_lapsed(now, &row.host, row.incarnation, members)
+        };
+        let mut hosts: Vec<PeerHost> = self
+            .rows
+            .values()
+            .map(|known| &known.row)
+            .filter(|row| !is_lapsed(row))
+            .map(peer_host)
+            .collect();
+        hosts.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        let mut holders = HashMap::new();
+        for known in self.groups.values() {
+            for (resource, entry) in &known.group.holders {
+                let is_own = entry.incarnation == context.incarnation;
+                if entry.host.is_empty() || is_own && context.lease.is_given(resource, entry.epoch)
+                {
+                    continue;
+                }
+                let holder = ResourceHolder {
+                    host: entry.host.clone(),
+                    incarnation: entry.incarnation,
+                    epoch: entry.epoch,
+                };
+                holders.insert(resource.clone(), holder);
+            }
+        }
+        if hosts.is_empty() {
+            // Nothing was read yet; what a peer told stays.
+            hosts.clone_from(&context.fleet.load().hosts);
+        }
+        context.fleet.store(Arc::new(FleetView { hosts, holders }));
+    }
+}
+
+fn stamp_of(row: &HostRow) -> HostStamp {
+    HostStamp {
+        host: row.host.clone(),
+        incarnation: row.incarnation,
+        number: row.number,
+        confirmed: row.confirmed,
+        member_set: row.member_set,
+    }
+}
+
+fn peer_host(row: &HostRow) -> PeerHost {
+    PeerHost {
+        name: row.host.clone(),
+        incarnation: row.incarnation,
+        zone: row.zone.clone(),
+        front: row.front,
+        peer: row.peer,
+        operator: row.operator,
+        leaving: row.leaving,
+        version: row.version,
+    }
+}
