Add check, publish, status and timeline, and stop without cutting requests

Cause: operators had no commands, and a stopping host refused requests whose callers still kept its address. Ruled out: leaving the member set first, which would drop tokens and slots under load.

--- a/crates/mangostep-daemon/src/context.rs
+++ b/crates/mangostep-daemon/src/context.rs
@@ -53,6 +53,8 @@
     pub(crate) addresses: OnceLock<HostAddresses>,
     /// Set by a planned stop.
     pub(crate) leaving: AtomicBool,
+    /// Set when new requests are refused.
+    pub(crate) draining: AtomicBool,
     /// Set once a planned stop has released all that the host held.
     pub(crate) released: AtomicBool,
     /// Requests that run now.
--- a/crates/mangostep-daemon/src/entry_host.rs
+++ b/crates/mangostep-daemon/src/entry_host.rs
@@ -1,7 +1,7 @@
 use std::{
     sync::{
         OnceLock,
-        atomic::{AtomicBool, AtomicU64},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::JoinHandle,
 };
@@ -48,6 +48,11 @@
     Stopped,
 }
 
+/// Keeping times of look-ups that pass before a host that leaves refuses new
+/// requests: one until other hosts know, one for answers given until then.
+const LOOKUP_KEEPS_BEFORE_DRAIN: u32 = 2;
+/// Time between two looks at a condition during a stop.
+const STOP_POLL: Duration = Duration::from_millis(10);
 /// Longest time that a stop waits for the table service.
 const RELEASE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -82,6 +87,7 @@
             head_version: AtomicU64::new(0),
             addresses: OnceLock::new(),
             leaving: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
             released: AtomicBool::new(false),
             running: AtomicU64::new(0),
             settings,
@@ -142,21 +148,27 @@
             })
     }
 
-    /// Stops the host; running requests get the grace time to end.
-    pub fn close(self, grace: Duration) {
-        use std::sync::atomic::Ordering;
-
+    /// Stops the host without cutting a request.
+    ///
+    /// Look-ups elsewhere stop naming it first; while callers may still keep
+    /// an earlier answer, it goes on to serve. Then it refuses new requests,
+    /// lets running ones end within the grace time of the settings, hands
+    /// over what it holds, and takes itself out of the member set.
+    pub fn close(self) {
         self.context.leaving.store(true, Ordering::Release);
+        info!(self.context.log, "leaving");
+        self.context.recorder.record("host-leaving", &[]);
+        std::thread::sleep(self.context.settings.lookup_keep * LOOKUP_KEEPS_BEFORE_DRAIN);
+        self.context.draining.store(true, Ordering::Release);
         self.stop.send_replace(StopPhase::Draining);
-        let end = self.context.clock.now() + grace;
-        while self.context.running.load(Ordering::Acquire) > 0 && self.context.clock.now() < end {
-            std::thread::sleep(Duration::from_millis(10));
-        }
+        let context = &self.context;
+        wait_for(context, context.settings.stop_grace, || {
+            context.running.load(Ordering::Acquire) == 0
+        });
         self.stop.send_replace(StopPhase::Releasing);
-        let end = self.context.clock.now() + RELEASE_LIMIT;
-        while !self.context.released.load(Ordering::Acquire) && self.context.clock.now() < end {
-            std::thread::sleep(Duration::from_millis(10));
-        }
+        wait_for(context, RELEASE_LIMIT, || {
+            context.released.load(Ordering::Acquire)
+        });
         self.stop.send_replace(StopPhase::Stopped);
         for thread in self.threads {
             // A thread that panicked has told so on standard error.
@@ -165,3 +177,11 @@
         info!(self.context.log, "stopped");
     }
 }
+
+/// Waits until a condition holds, or the limit is over.
+fn wait_for(context: &HostContext, limit: Duration, holds: impl Fn() -> bool) {
+    let end = context.clock.now() + limit;
+    while !holds() && context.clock.now() < end {
+        std::thread::sleep(STOP_POLL);
+    }
+}
--- a/crates/mangostep-daemon/src/front/answer.rs
+++ b/crates/mangostep-daemon/src/front/answer.rs
@@ -15,11 +15,19 @@
     front::{
         body::BodyPump,
         headers::{connection_options, is_dropped},
+        running::RunningGuard,
     },
     refusal::Refusal,
     slots::{OpenPermit, ServerOutcome},
 };
 
+/// What a request holds until its answer ends.
+pub(crate) struct OpenAnswer<'r> {
+    pub(crate) pump: Option<BodyPump<'r>>,
+    pub(crate) permit: OpenPermit,
+    pub(crate) running: RunningGuard,
+}
+
 /// Builds the caller's answer from a backend server's.
 ///
 /// An answer with a length is streamed: when it is cut, the caller sees that
@@ -27,8 +35,7 @@
 /// would end it cleanly where it was cut.
 pub(crate) async fn relay<'r>(
     answer: reqwest::Response,
-    pump: Option<BodyPump<'r>>,
-    permit: OpenPermit,
+    open: OpenAnswer<'r>,
     unsized_bytes: u64,
     is_head: bool,
 ) -> Result<Response<'r>, Refusal> {
@@ -37,7 +44,7 @@
     let has_no_body = is_head || matches!(answer.status().as_u16(), 204 | 304);
     let length = answer.content_length().filter(|_| !is_head);
     if has_no_body {
-        permit.close(outcome);
+        open.permit.close(outcome);
         return Ok(response);
     }
     let chunks = answer
@@ -48,8 +55,9 @@
         chunks,
         current: Bytes::new(),
         left: length,
-        pump,
-        permit: Some(permit),
+        pump: open.pump,
+        permit: Some(open.permit),
+        _running: open.running,
         outcome,
     };
     if let Some(length) = length {
@@ -87,6 +95,8 @@
     left: Option<u64>,
     pump: Option<BodyPump<'r>>,
     permit: Option<OpenPermit>,
+    /// Held until the answer ends; only its drop matters.
+    _running: RunningGuard,
     outcome: ServerOutcome,
 }
 
--- a/crates/mangostep-daemon/src/front/body.rs
+++ b/crates/mangostep-daemon/src/front/body.rs
@@ -14,12 +14,21 @@
 /// Moves a caller's body to the back thread while it is polled.
 pub(crate) type BodyPump<'r> = Pin<Box<dyn Future<Output = ()> + Send + 'r>>;
 
+/// A body that is moved on while it arrives.
+pub(crate) struct StreamedBody<'r> {
+    stream: Box<DataStream<'r>>,
+    /// Length that the caller declared.
+    declared: Option<u64>,
+    /// Largest length that is taken, in bytes.
+    most: u64,
+}
+
 /// A caller's body, held whole when it is small.
 pub(crate) enum CallerBody<'r> {
     /// Can be sent again.
     Whole(Bytes),
     /// Can be sent once.
-    Streamed(Box<DataStream<'r>>, u64),
+    Streamed(StreamedBody<'r>),
 }
 
 impl<'r> CallerBody<'r> {
@@ -36,7 +45,11 @@
         let most = ByteUnit::from(settings.body_bytes.saturating_add(1));
         let mut stream = data.open(most);
         let Some(length) = declared.filter(|length| *length <= settings.replay_bytes) else {
-            return Ok(CallerBody::Streamed(Box::new(stream), settings.body_bytes));
+            return Ok(CallerBody::Streamed(StreamedBody {
+                stream: Box::new(stream),
+                declared,
+                most: settings.body_bytes,
+            }));
         };
         let mut whole = Vec::new();
         let read = stream.read_to_end(&mut whole).await;
@@ -46,13 +59,21 @@
         Ok(CallerBody::Whole(Bytes::from(whole)))
     }
 
+    /// The length that the backend server is told, when it is known.
+    pub(crate) fn declared(&self) -> Option<u64> {
+        match self {
+            CallerBody::Whole(bytes) => Some(bytes.len() as u64),
+            CallerBody::Streamed(body) => body.declared,
+        }
+    }
+
     /// Splits a streamed body into the part for the back thread and a pump.
     pub(crate) fn into_back(self) -> (BackBody, Option<BodyPump<'r>>) {
         match self {
             CallerBody::Whole(bytes) => (BackBody::Whole(bytes), None),
-            CallerBody::Streamed(stream, most) => {
+            CallerBody::Streamed(body) => {
                 let (sender, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
-                let pump = Box::pin(pump_chunks(stream, sender, most));
+                let pump = Box::pin(pump_chunks(body.stream, sender, body.most));
                 (BackBody::Stream(receiver), Some(pump))
             }
         }
--- a/crates/mangostep-daemon/src/front/forward.rs
+++ b/crates/mangostep-daemon/src/front/forward.rs
@@ -8,10 +8,11 @@
 use crate::{
     back::{BackFailure, BackJob},
     front::{
-        answer::relay,
+        answer::{OpenAnswer, relay},
         body::{BodyPump, CallerBody},
         handler::EntryHandler,
         headers::{ServerHeaders, forwarded},
+        running::RunningGuard,
     },
     prelude::*,
     refusal::Refusal,
@@ -51,6 +52,7 @@
     handler: &EntryHandler,
     job: ForwardJob<'_>,
     body: CallerBody<'r>,
+    running: RunningGuard,
 ) -> Result<Response<'r>, Refusal> {
     let mut tried: Vec<String> = Vec::new();
     let mut body = Some(body);
@@ -63,7 +65,12 @@
             TryResult::Answered(answer, permit, pump) => {
                 let limit = job.target.service.unsized_answer_bytes;
                 let is_head = job.request.method() == rocket::http::Method::Head;
-                return relay(*answer, pump, permit, limit, is_head).await;
+                let open = OpenAnswer {
+                    pump,
+                    permit,
+                    running,
+                };
+                return relay(*answer, open, limit, is_head).await;
             }
             TryResult::Failed(failure) => failure,
         };
@@ -116,14 +123,20 @@
         time_left,
         workspace: job.workspace,
     };
+    let declared = body.declared();
     let (body, mut pump) = body.into_back();
+    let mut headers = forwarded(job.request, own);
+    // An empty body without a length stays so: a GET must not gain one.
+    if let Some(length) = declared.filter(|length| *length > 0) {
+        headers.insert(reqwest::header::CONTENT_LENGTH, length.into());
+    }
     let (reply, answer) = oneshot::channel();
     let back_job = BackJob {
         address: permit.address(),
         method: reqwest::Method::from_bytes(job.request.method().as_str().as_bytes())
             .unwrap_or(reqwest::Method::GET),
         target: target_of(job),
-        headers: forwarded(job.request, own),
+        headers,
         body,
         connect_timeout: service.connect_timeout,
         reply,
--- a/crates/mangostep-daemon/src/front/handler.rs
+++ b/crates/mangostep-daemon/src/front/handler.rs
@@ -2,6 +2,7 @@
 
 use {
     mangostep_objects::{NormalPath, RouteAccess, Snapshot},
+    mangostep_telemetry::HostCounters,
     rocket::{
         Data, Request, Response,
         route::{Handler, Outcome},
@@ -15,6 +16,7 @@
         forward::{ForwardJob, forward},
         headers::{header_bytes, presented_key},
         lookup::answer_lookup,
+        running::RunningGuard,
     },
     peer::PeerRing,
     prelude::*,
@@ -29,22 +31,6 @@
     pub(crate) back: BackRing,
 }
 
-/// Counts a request as running until it is dropped.
-struct RunningGuard(Arc<HostContext>);
-
-impl RunningGuard {
-    fn open(context: &Arc<HostContext>) -> Self {
-        context.running.fetch_add(1, Ordering::AcqRel);
-        RunningGuard(context.clone())
-    }
-}
-
-impl Drop for RunningGuard {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 impl EntryHandler {
     pub(crate) fn new(context: Arc<HostContext>, peer: PeerRing, back: BackRing) -> Self {
         EntryHandler {
@@ -58,9 +44,9 @@
         &self,
         request: &'r Request<'_>,
         data: Data<'r>,
+        arrival: MonotonicTime,
+        labels: &mut RequestLabels,
     ) -> Result<Response<'r>, Refusal> {
-        let _running = RunningGuard::open(&self.context);
-        let arrival = self.context.clock.now();
         if header_bytes(request) > self.context.settings.header_bytes {
             return Err(Refusal::not_run(431, "headers-too-large"));
         }
@@ -68,7 +54,10 @@
         if raw_path == "/_mangostep/entry" {
             return Ok(answer_lookup(&self.context, request));
         }
-        if self.context.leaving.load(Ordering::Acquire) {
+        // Counted before the check, so that a stop that sees no running
+        // request after it began to drain misses none.
+        let running = RunningGuard::open(&self.context);
+        if self.context.draining.load(Ordering::Acquire) {
             return Err(Refusal::not_run(503, "host-leaving"));
         }
         let path = NormalPath::parse(raw_path).ok_or(Refusal::not_run(400, "path-unclear"))?;
@@ -80,6 +69,7 @@
         let target = snapshot
             .route(host, &path, request.method().as_str())
             .ok_or(Refusal::not_run(404, "no-route"))?;
+        labels.service.clone_from(&target.service.name);
         let workspace = match target.route.access {
             RouteAccess::Open => None,
             RouteAccess::Keyed => Some(self.workspace(&snapshot, request)?),
@@ -87,16 +77,10 @@
         if workspace.is_some_and(|name| !snapshot.may_use(target.route, name)) {
             return Err(Refusal::not_run(403, "route-not-granted"));
         }
+        let limit = workspace.and_then(|name| snapshot.limit_of(name));
+        labels.limit = limit.map(|limit| limit.name.clone()).unwrap_or_default();
         let deadline = arrival + target.route.deadline;
-        let declared = request.headers().get_one("content-length");
-        let declared = match declared {
-            Some(text) => Some(
-                text.parse()
-                    .map_err(|_| Refusal::not_run(400, "bad-length"))?,
-            ),
-            None if request.headers().contains("transfer-encoding") => None,
-            None => Some(0),
-        };
+        let declared = declared_length(request)?;
         let body = CallerBody::take(data, declared, &self.context).await?;
         if let Some(workspace) = workspace {
             self.peer.admit(workspace, deadline).await?;
@@ -114,7 +98,7 @@
             deadline,
             request_id: &request_id,
         };
-        forward(self, job, body).await
+        forward(self, job, body, running).await
     }
 
     fn workspace<'s>(
@@ -135,9 +119,61 @@
 #[rocket::async_trait]
 impl Handler for EntryHandler {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        match self.serve(request, data).await {
+        let arrival = self.context.clock.now();
+        let mut labels = RequestLabels::default();
+        let result = self.serve(request, data, arrival, &mut labels).await;
+        let latency = self.context.clock.now().since(arrival);
+        labels.count(&self.context.counters, &result, latency);
+        match result {
             Ok(response) => Outcome::Success(response),
             Err(refusal) => Outcome::Success(refusal.into_response()),
         }
     }
 }
+
+/// What requests are counted by.
+#[derive(Debug, Default)]
+struct RequestLabels {
+    /// Empty when no route took the request.
+    service: String,
+    /// Name of the workspace's limit, which stands for a group of workspaces.
+    limit: String,
+}
+
+impl RequestLabels {
+    fn count(
+        &self,
+        counters: &HostCounters,
+        result: &Result<Response<'_>, Refusal>,
+        latency: Duration,
+    ) {
+        let (outcome, reason) = match result {
+            Ok(response) if response.status().code >= 500 => ("answered", "server-error"),
+            Ok(_) => ("answered", "whole"),
+            Err(refusal) => (refusal.run.as_str(), refusal.reason),
+        };
+        counters.count_request(&[
+            ("service", &self.service),
+            ("limit", &self.limit),
+            ("outcome", outcome),
+            ("reason", reason),
+        ]);
+        if result.is_ok() {
+            counters.record_latency(&self.service, latency);
+        }
+    }
+}
+
+/// The length of a request's body, when the caller declares it.
+fn declared_length(request: &Request<'_>) -> Result<Option<u64>, Refusal> {
+    if request.headers().contains("transfer-encoding") {
+        return Ok(None);
+    }
+    let Some(text) = request.headers().get_one("content-length") else {
+        return Ok(Some(0));
+    };
+    let length = text
+        .parse()
+        .map_err(|_| Refusal::not_run(400, "bad-length"))?;
+    Ok(Some(length))
+}
--- a/crates/mangostep-daemon/src/front/mod.rs
+++ b/crates/mangostep-daemon/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod handler;
 mod headers;
 mod lookup;
+mod running;
 
 use std::{net::SocketAddr, sync::mpsc::SyncSender, thread::JoinHandle};
 
--- /dev/null
+++ b/crates/mangostep-daemon/src/front/running.rs
@@ -0,0 +1,19 @@
+use std::sync::atomic::Ordering;
+
+use crate::prelude::*;
+
+/// Counts a request as running until its answer was read whole or dropped.
+pub(crate) struct RunningGuard(Arc<HostContext>);
+
+impl RunningGuard {
+    pub(crate) fn open(context: &Arc<HostContext>) -> Self {
+        context.running.fetch_add(1, Ordering::AcqRel);
+        RunningGuard(context.clone())
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/mangostep-daemon/src/refusal.rs
+++ b/crates/mangostep-daemon/src/refusal.rs
@@ -12,6 +12,16 @@
     Unknown,
 }
 
+impl RunState {
+    /// The value of the header `mangostep-outcome`.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            RunState::NotRun => "not-run",
+            RunState::Unknown => "unknown",
+        }
+    }
+}
+
 /// An answer that the entry host itself writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -51,10 +61,7 @@
     }
 
     pub(crate) fn into_response(self) -> Response<'static> {
-        let outcome = match self.run {
-            RunState::NotRun => "not-run",
-            RunState::Unknown => "unknown",
-        };
+        let outcome = self.run.as_str();
         let body = format!(
             "{{\"outcome\":\"{outcome}\",\"reason\":\"{}\"}}\n",
             self.reason
--- a/crates/mangostep-daemon/src/settings.rs
+++ b/crates/mangostep-daemon/src/settings.rs
@@ -53,6 +53,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lookup_keep_ms")]
     pub lookup_keep: Duration,
+    /// Longest time that running requests get to end at a planned stop.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "stop_grace_ms")]
+    pub stop_grace: Duration,
     /// Times of the host lease, alike on all hosts of the fleet.
     pub lease: LeaseTimes,
     /// Peer addresses of a few other hosts, asked at a start while the
@@ -81,8 +85,47 @@
             header_bytes: 32 << 10,
             replay_bytes: 64 << 10,
             lookup_keep: Duration::from_secs(3),
+            stop_grace: Duration::from_secs(30),
             lease: LeaseTimes::default(),
             seeds: Vec::new(),
         }
     }
 }
+
+impl ServeSettings {
+    /// Checks what cannot be told by the types alone.
+    ///
+    /// # Errors
+    ///
+    /// Names the field at fault and what would be right.
+    pub fn check(&self) -> Result<(), String> {
+        let names = [
+            ("fleet", &self.fleet),
+            ("host", &self.host),
+            ("zone", &self.zone),
+        ];
+        for (field, name) in names {
+            if name.is_empty() || name.contains(['/', ' ']) {
+                return Err(format!("{field}: must be a name without `/` or blanks"));
+            }
+        }
+        let counts = [
+            ("front_threads", self.front_threads),
+            ("back_threads", self.back_threads),
+            ("ring_capacity", self.ring_capacity),
+            ("header_bytes", self.header_bytes),
+        ];
+        for (field, count) in counts {
+            if count == 0 {
+                return Err(format!("{field}: must be at least 1"));
+            }
+        }
+        if self.replay_bytes > self.body_bytes {
+            return Err("replay_bytes: must not be more than body_bytes".to_owned());
+        }
+        if self.lookup_keep.is_zero() {
+            return Err("lookup_keep_ms: must be at least 1 millisecond".to_owned());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mangostep/src/fleet_access.rs
@@ -0,0 +1,148 @@
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use {
+    mangostep_platform::{
+        HostRow, PlatformClient, PlatformSettings, TableStore, Transaction, keys,
+    },
+    pico_args::Arguments,
+    serde::Deserialize,
+};
+
+use crate::command::{CommandError, read_text};
+
+/// How an operator reaches a fleet.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct OperatorSettings {
+    /// Name of the fleet.
+    pub(crate) fleet: String,
+    /// Where the platform is.
+    pub(crate) platform: PlatformSettings,
+    /// Operator addresses to ask when the platform is away.
+    pub(crate) hosts: Vec<SocketAddr>,
+}
+
+/// An operator's way to a fleet.
+#[derive(Debug)]
+pub(crate) struct FleetAccess {
+    pub(crate) settings: OperatorSettings,
+    pub(crate) client: PlatformClient,
+    pub(crate) http: reqwest::Client,
+}
+
+/// How long one host may take to answer an operator.
+const HOST_TIMEOUT: Duration = Duration::from_secs(3);
+
+impl FleetAccess {
+    /// Reads the options that every operator's command takes.
+    pub(crate) fn open(arguments: &mut Arguments) -> Result<Self, CommandError> {
+        let file: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
+        let mut settings = match file {
+            Some(file) => {
+                let text = read_text(&file)?;
+                jsonc_parser::parse_to_serde_value(&text, &Default::default())
+                    .map_err(|err| CommandError::failed(&file.to_string_lossy(), err))?
+            }
+            None => OperatorSettings::default(),
+        };
+        if let Some(fleet) = arguments.opt_value_from_str("--fleet")? {
+            settings.fleet = fleet;
+        }
+        if let Some(base) = arguments.opt_value_from_str::<_, String>("--platform")? {
+            settings.platform.table.clone_from(&base);
+            settings.platform.objects.clone_from(&base);
+            settings.platform.directory = base;
+        }
+        while let Some(host) = arguments.opt_value_from_str("--host")? {
+            settings.hosts.push(host);
+        }
+        if settings.fleet.is_empty() {
+            return Err(CommandError::Usage(
+                "which fleet? (--fleet or --settings)".to_owned(),
+            ));
+        }
+        settings.platform.client = "operator".to_owned();
+        let client = PlatformClient::open(settings.platform.clone())
+            .map_err(|err| CommandError::failed("set up platform client", err))?;
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .timeout(HOST_TIMEOUT)
+            .build()
+            .map_err(|err| CommandError::failed("set up client", err))?;
+        Ok(FleetAccess {
+            settings,
+            client,
+            http,
+        })
+    }
+
+    /// Reads the rows of all hosts.
+    pub(crate) async fn host_rows(&self) -> Result<Vec<HostRow>, CommandError> {
+        let read = Transaction {
+            prefixes: vec![keys::hosts(&self.settings.fleet)],
+            ..Default::default()
+        };
+        let answer = self
+            .client
+            .transact(&read)
+            .await
+            .map_err(|err| CommandError::failed("read host rows", err))?;
+        let texts = answer.rows.iter().filter_map(|row| row.value.as_deref());
+        texts
+            .map(|text| {
+                HostRow::parse(text).map_err(|err| CommandError::failed("read host rows", err))
+            })
+            .collect()
+    }
+
+    /// The operator addresses of all hosts: from their rows, or those that
+    /// the operator named when the platform is away.
+    pub(crate) async fn operator_addresses(&self) -> Result<Vec<HostAddress>, CommandError> {
+        match self.host_rows().await {
+            Ok(rows) => Ok(rows
+                .into_iter()
+                .map(|row| HostAddress {
+                    name: row.host,
+                    address: row.operator,
+                })
+                .collect()),
+            Err(err) if self.settings.hosts.is_empty() => Err(err),
+            Err(CommandError::Usage(message) | CommandError::Failed(message)) => {
+                eprintln!("{message}; asking the named hosts");
+                let named = self.settings.hosts.iter();
+                Ok(named
+                    .map(|address| HostAddress {
+                        name: address.to_string(),
+                        address: *address,
+                    })
+                    .collect())
+            }
+        }
+    }
+
+    /// Asks one host for a JSON page.
+    pub(crate) async fn ask<T: serde::de::DeserializeOwned>(
+        &self,
+        host: &HostAddress,
+        path: &str,
+    ) -> Result<T, String> {
+        let answer = self
+            .http
+            .get(format!("http://{}{path}", host.address))
+            .send()
+            .await
+            .and_then(reqwest::Response::error_for_status);
+        let page = match answer {
+            Ok(answer) => answer.json().await,
+            Err(err) => Err(err),
+        };
+        page.map_err(|err| format!("{path} at {}: {}", host.address, err.without_url()))
+    }
+}
+
+/// A host that operators can ask.
+#[derive(Clone, Debug)]
+pub(crate) struct HostAddress {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+}
--- a/crates/mangostep/src/main.rs
+++ b/crates/mangostep/src/main.rs
@@ -1,39 +1,85 @@
 //! The `mangostep` command.
 
+mod check;
+mod command;
+mod fleet_access;
+mod publish;
 mod serve;
+mod status;
+mod timeline;
+mod timeline_html;
 
 use std::process::ExitCode;
 
+use crate::command::{CommandError, EXIT_FAILED, EXIT_USAGE};
+
 const USAGE: &str = "\
 mangostep: a proxy fleet for backend servers with gray failures
 
 Usage: mangostep COMMAND [OPTIONS]
 
 Commands:
-  serve SETTINGS   run an entry host until SIGTERM or SIGINT
-  help             show this text
-  version          show the version
-";
+  serve SETTINGS     run an entry host until SIGTERM or SIGINT
+  check PATH...      check a set of objects as one
+  publish PATH...    publish a set of objects and wait until it is in force
+  status             show hosts, versions in force, zones and ejections
+  timeline           show the events of all hosts in one order
+  help [COMMAND]     show this text, or that of a command
+  version            show the version
 
-/// The exit code of a command line that cannot be understood.
-const EXIT_USAGE: u8 = 2;
+Every command takes --help. Exit codes: 0 done, 1 failed, 2 usage.
+";
 
 fn main() -> ExitCode {
     let mut arguments = pico_args::Arguments::from_env();
-    let command = arguments.subcommand().ok().flatten();
-    match command.as_deref() {
-        Some("serve") => serve::run(arguments),
-        Some("version") => {
-            println!("mangostep {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
-        }
-        Some("help") => {
-            print!("{USAGE}");
-            ExitCode::SUCCESS
-        }
-        _ => {
-            eprint!("{USAGE}");
+    let mut name = match arguments.subcommand() {
+        Ok(name) => name.unwrap_or_default(),
+        Err(err) => return tell(Err(CommandError::Usage(err.to_string()))),
+    };
+    let mut wants_help = arguments.contains(["-h", "--help"]);
+    if name == "help" {
+        name = arguments.subcommand().ok().flatten().unwrap_or_default();
+        wants_help = true;
+    }
+    type Run = fn(pico_args::Arguments) -> Result<(), CommandError>;
+    let (run, usage): (Run, &str) = match name.as_str() {
+        "serve" => (serve::run, serve::USAGE),
+        "check" => (check::run, check::USAGE),
+        "publish" => (publish::run, publish::USAGE),
+        "status" => (status::run, status::USAGE),
+        "timeline" => (timeline::run, timeline::USAGE),
+        "version" => (show_version, "Usage: mangostep version\n"),
+        "" if wants_help => (show_usage, USAGE),
+        "" => return tell(Err(CommandError::Usage("which command?".to_owned()))),
+        other => return tell(Err(CommandError::Usage(format!("no command `{other}`")))),
+    };
+    if wants_help {
+        print!("{usage}");
+        return ExitCode::SUCCESS;
+    }
+    tell(run(arguments))
+}
+
+fn show_version(_: pico_args::Arguments) -> Result<(), CommandError> {
+    println!("mangostep {}", env!("CARGO_PKG_VERSION"));
+    Ok(())
+}
+
+fn show_usage(_: pico_args::Arguments) -> Result<(), CommandError> {
+    print!("{USAGE}");
+    Ok(())
+}
+
+fn tell(result: Result<(), CommandError>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(CommandError::Usage(message)) => {
+            eprintln!("mangostep: {message}\nSee `mangostep help`.");
             ExitCode::from(EXIT_USAGE)
         }
+        Err(CommandError::Failed(message)) => {
+            eprintln!("mangostep: {message}");
+            ExitCode::from(EXIT_FAILED)
+        }
     }
 }
--- a/crates/mangostep/src/serve.rs
+++ b/crates/mangostep/src/serve.rs
@@ -1,45 +1,63 @@
-use std::{process::ExitCode, time::Duration};
+use std::path::Path;
 
 use {
     mangostep_daemon::{EntryHost, ServeSettings},
+    pico_args::Arguments,
     tokio::signal::unix::{SignalKind, signal},
 };
 
-const STOP_GRACE: Duration = Duration::from_secs(10);
+use crate::command::{CommandError, free_arguments, read_text};
+
+pub(crate) const USAGE: &str = "\
+Run an entry host until SIGTERM or SIGINT.
+
+Usage: mangostep serve SETTINGS
+
+SETTINGS is a JSON file with comments. When all listeners are bound, one JSON
+line on standard output tells their addresses. The first signal starts a
+planned stop, which cuts no request; a second one stops at once.
+";
 
 /// Runs an entry host until a signal ends it.
-pub(crate) fn run(mut arguments: pico_args::Arguments) -> ExitCode {
-    let Ok(path) = arguments.free_from_str::<String>() else {
-        eprintln!("serve: which settings file?");
-        return ExitCode::from(crate::EXIT_USAGE);
+pub(crate) fn run(arguments: Arguments) -> Result<(), CommandError> {
+    let free = free_arguments(arguments)?;
+    let [path] = free.as_slice() else {
+        return Err(CommandError::Usage(
+            "serve takes one settings file".to_owned(),
+        ));
     };
-    match read_settings(&path).and_then(serve) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("serve: {message}");
-            ExitCode::FAILURE
-        }
-    }
+    let settings = read_settings(Path::new(path))?;
+    serve(settings)
 }
 
-fn read_settings(path: &str) -> Result<ServeSettings, String> {
-    let text = std::fs::read_to_string(path).map_err(|err| format!("{path}: {err}"))?;
-    jsonc_parser::parse_to_serde_value(&text, &Default::default())
-        .map_err(|err| format!("{path}: {err}"))
+fn read_settings(path: &Path) -> Result<ServeSettings, CommandError> {
+    let text = read_text(path)?;
+    let failed = |message: String| CommandError::failed(&path.to_string_lossy(), message);
+    let settings: ServeSettings = jsonc_parser::parse_to_serde_value(&text, &Default::default())
+        .map_err(|err| failed(err.to_string()))?;
+    settings.check().map_err(failed)?;
+    Ok(settings)
 }
 
-fn serve(settings: ServeSettings) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
+fn serve(settings: ServeSettings) -> Result<(), CommandError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
         .enable_all()
         .build()
-        .map_err(|err| err.to_string())?;
-    let host = EntryHost::open(settings).map_err(|err| err.to_string())?;
-    let bound = serde_json::to_string(&host.addresses()).map_err(|err| err.to_string())?;
-    println!("{bound}");
-    runtime
-        .block_on(wait_for_signal())
-        .map_err(|err| err.to_string())?;
-    host.close(STOP_GRACE);
+        .map_err(|err| CommandError::failed("start runtime", err))?;
+    let host = EntryHost::open(settings).map_err(|err| CommandError::failed("serve", err))?;
+    let addresses = serde_json::to_string(&host.addresses())
+        .map_err(|err| CommandError::failed("tell addresses", err))?;
+    println!("{addresses}");
+    let signals = |err| CommandError::failed("wait for signals", err);
+    runtime.block_on(wait_for_signal()).map_err(signals)?;
+    // A second signal ends the process whatever still runs.
+    runtime.spawn(async {
+        if wait_for_signal().await.is_ok() {
+            std::process::exit(0);
+        }
+    });
+    host.close();
     Ok(())
 }
 
