--- /dev/null
+++ b/crates/standins/src/bin/experiment.rs
@@ -0,0 +1,65 @@
+//! Runs one experiment and prints its figures.
+
+use std::process::ExitCode;
+
+use standins::experiments::{EXPERIMENTS, Experiment, ExperimentSettings, Figures, TIME_LIMIT};
+
+const USAGE: &str = "\
+experiment: measures a running fleet against stated bounds
+
+Usage: experiment NAME [--seed N]
+
+Prints one line a figure: name value unit bound verdict.
+Exit codes: 0 all bounds kept, 1 a bound passed or a failure, 2 usage.
+
+Experiments:
+";
+
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_env();
+    let name = arguments.subcommand().ok().flatten().unwrap_or_default();
+    let seed = arguments.opt_value_from_str("--seed").ok().flatten();
+    let experiment = EXPERIMENTS.iter().find(|known| known.name == name);
+    let (Some(experiment), true) = (experiment, arguments.finish().is_empty()) else {
+        eprint!("{USAGE}");
+        for known in EXPERIMENTS {
+            eprintln!("  {:<16} {}", known.name, known.about);
+        }
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = ExperimentSettings {
+        seed: seed.unwrap_or(1),
+    };
+    match run(experiment, settings) {
+        Ok(figures) => {
+            print!("{figures}");
+            ExitCode::from(u8::from(!figures.hold()))
+        }
+        Err(message) => {
+            eprintln!("{name}: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(experiment: &Experiment, settings: ExperimentSettings) -> Result<Figures, String> {
+    eprintln!("{} --seed {}", experiment.name, settings.seed);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .map_err(|err| err.to_string())?;
+    let result = runtime.block_on(async {
+        standins::fleet::build_programs().await?;
+        match tokio::time::timeout(TIME_LIMIT, (experiment.run)(settings)).await {
+            Ok(result) => result,
+            Err(_) => {
+                let message = format!("no end after {} s", TIME_LIMIT.as_secs());
+                Err(standins::StandinError::new("run", experiment.name, message))
+            }
+        }
+    });
+    result.map_err(|err| err.to_string())
+}
--- /dev/null
+++ b/crates/standins/src/experiments/mod.rs
@@ -0,0 +1,46 @@
+//! Measurements of a running fleet against stated bounds.
+//!
+//! Each experiment is a module of its own with one function, entered in
+//! [`EXPERIMENTS`]. It starts its own fleet, ends within [`TIME_LIMIT`], and
+//! returns [`Figures`], which are printed one a line:
+//! `name value unit bound verdict`.
+
+mod figures;
+mod path_overhead;
+
+use std::{future::Future, pin::Pin, time::Duration};
+
+use crate::StandinError;
+
+pub use crate::experiments::figures::{Bound, Figure, Figures};
+
+/// Longest time of one experiment.
+pub const TIME_LIMIT: Duration = Duration::from_secs(50);
+
+/// What an experiment is told.
+#[derive(Clone, Copy, Debug)]
+pub struct ExperimentSettings {
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+}
+
+/// A running experiment.
+pub type ExperimentRun = Pin<Box<dyn Future<Output = Result<Figures, StandinError>>>>;
+
+/// An experiment that can be run by its name.
+#[derive(Clone, Copy, Debug)]
+pub struct Experiment {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it measures, in one line.
+    pub about: &'static str,
+    /// Starts it.
+    pub run: fn(ExperimentSettings) -> ExperimentRun,
+}
+
+/// All experiments, in the order of the listing.
+pub const EXPERIMENTS: &[Experiment] = &[Experiment {
+    name: "path-overhead",
+    about: "time that an entry host adds to a request, and requests a core",
+    run: |settings| Box::pin(path_overhead::run(settings)),
+}];
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -39,6 +39,7 @@
     backend::RunRecord,
     fleet::{
         block::{AddressBlock, AddressRole},
+        programs::FleetPrograms,
         publish::publish,
         start::FleetStart,
     },
@@ -53,6 +54,21 @@
     wait::wait_until,
 };
 
+/// Builds the programs that a fleet starts, once a process.
+///
+/// [`TestFleet::open`] does so too; a caller that measures time builds first.
+///
+/// # Errors
+///
+/// Fails when a program cannot be built.
+pub async fn build_programs() -> Result<(), StandinError> {
+    let build = tokio::task::spawn_blocking(FleetPrograms::build);
+    let built = build
+        .await
+        .map_err(|err| StandinError::new("build programs", "cargo", err))?;
+    built.map(|_| ())
+}
+
 /// A platform, backend servers, fault proxies and entry hosts, each a process
 /// of its own on its own loopback IP number.
 ///
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,13 +10,18 @@
 //! * [`backend`]: a backend server with slots, cold start and gray failures.
 //! * [`proxy`]: a TCP forwarder with faults by source IP number.
 //! * [`fleet`]: [`fleet::TestFleet`] starts all of these and real entry hosts.
+//! * [`load`]: callers that send at a steady rate.
+//! * [`experiments`]: measurements against stated bounds.
 
 mod error;
 mod http;
+mod usage;
 
 pub mod backend;
+pub mod experiments;
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 
-pub use crate::{error::StandinError, http::CutPlace};
+pub use crate::{error::StandinError, http::CutPlace, usage::ProcessUsage};
--- /dev/null
+++ b/crates/standins/src/load/mod.rs
@@ -0,0 +1,162 @@
+//! Callers that send at a steady rate, whatever becomes of their requests.
+//!
+//! Latencies count from the time at which a request was due, so that a slow
+//! answer does not hide the ones that had to wait behind it.
+
+mod lookup;
+mod report;
+mod sender;
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use {
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    tokio::{sync::mpsc, time::Instant},
+};
+
+use crate::{
+    StandinError,
+    backend::wall_us,
+    load::sender::{DueRequest, RequestSender},
+};
+
+pub use crate::load::{
+    lookup::{EntryAnswer, EntryLookup},
+    report::{LoadReport, OperationEnd, OperationRecord, RequestReport},
+};
+
+/// A kind of request, and its part in the load.
+#[derive(Clone, Debug)]
+pub struct LoadRequest {
+    /// Name in the report.
+    pub name: String,
+    /// HTTP method.
+    pub method: reqwest::Method,
+    /// Path and query.
+    pub path: String,
+    /// Key to present; none when empty.
+    pub key: String,
+    /// Part in the load, relative to the others.
+    pub weight: f64,
+    /// Body of each request.
+    pub body: bytes::Bytes,
+}
+
+impl Default for LoadRequest {
+    fn default() -> Self {
+        LoadRequest {
+            name: "lookup".to_owned(),
+            method: reqwest::Method::GET,
+            path: "/lookup/1".to_owned(),
+            key: String::new(),
+            weight: 1.0,
+            body: bytes::Bytes::new(),
+        }
+    }
+}
+
+/// How a load is sent.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Addresses that callers know at their start.
+    pub entries: Vec<SocketAddr>,
+    /// Whether callers ask which addresses to use; they keep to `entries`
+    /// otherwise.
+    pub look_up: bool,
+    /// IP number that connections start from; the system's choice when
+    /// absent.
+    pub source: Option<IpAddr>,
+    /// Callers, each with connections and a kept look-up of its own.
+    pub callers: usize,
+    /// Requests a second, of all callers together.
+    pub rate_per_s: f64,
+    /// How long requests are sent.
+    pub duration: Duration,
+    /// Longest wait for an answer.
+    pub timeout: Duration,
+    /// Kinds of requests.
+    pub requests: Vec<LoadRequest>,
+    /// Seed of the times and kinds of requests.
+    pub seed: u64,
+}
+
+impl Default for LoadSettings {
+    fn default() -> Self {
+        LoadSettings {
+            entries: Vec::new(),
+            look_up: true,
+            source: None,
+            callers: 8,
+            rate_per_s: 100.0,
+            duration: Duration::from_secs(5),
+            timeout: Duration::from_secs(10),
+            requests: vec![LoadRequest::default()],
+            seed: 1,
+        }
+    }
+}
+
+/// Sends a load and reports what became of it.
+///
+/// Requests are due at random times that are independent of each other and
+/// of the answers.
+///
+/// # Errors
+///
+/// Fails when the HTTP library cannot be set up or there is nothing to send.
+pub async fn run_load(settings: LoadSettings) -> Result<LoadReport, StandinError> {
+    if settings.requests.is_empty() || settings.entries.is_empty() || settings.callers == 0 {
+        let message = "a load needs requests, entries and callers";
+        return Err(StandinError::new("start load", "load caller", message));
+    }
+    let mut random = SmallRng::seed_from_u64(settings.seed);
+    let settings = Arc::new(settings);
+    let senders = (0..settings.callers)
+        .map(|number| RequestSender::open(settings.clone(), number).map(Arc::new))
+        .collect::<Result<Vec<_>, _>>()?;
+    let (reports, mut ended) = mpsc::unbounded_channel();
+    let start = Instant::now();
+    let start_us = wall_us();
+    let mut due = Duration::ZERO;
+    let mut sent = 0;
+    while due < settings.duration {
+        tokio::time::sleep_until(start + due).await;
+        let request = DueRequest {
+            number: sent,
+            kind: draw_kind(&settings.requests, &mut random),
+            due: start + due,
+            due_us: start_us + due.as_micros() as u64,
+        };
+        let sender = senders[sent % senders.len()].clone();
+        let reports = reports.clone();
+        tokio::spawn(async move {
+            // The receiver lives until all requests ended.
+            let _ = reports.send(sender.send(request).await);
+        });
+        sent += 1;
+        let gap = -(1.0 - random.random::<f64>()).ln() / settings.rate_per_s;
+        due += Duration::from_secs_f64(gap);
+    }
+    drop(reports);
+    let mut report = LoadReport::new(&settings.requests);
+    while let Some(record) = ended.recv().await {
+        report.push(record);
+    }
+    Ok(report)
+}
+
+fn draw_kind(requests: &[LoadRequest], random: &mut SmallRng) -> usize {
+    let sum: f64 = requests.iter().map(|request| request.weight).sum();
+    let mut at = random.random::<f64>() * sum;
+    for (index, request) in requests.iter().enumerate() {
+        at -= request.weight;
+        if at < 0.0 {
+            return index;
+        }
+    }
+    requests.len() - 1
+}
--- /dev/null
+++ b/crates/standins/src/load/report.rs
@@ -0,0 +1,187 @@
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use hdrhistogram::Histogram;
+
+use crate::load::LoadRequest;
+
+/// Largest latency that the histogram tells apart, in microseconds.
+const LATENCY_US_MAX: u64 = 120_000_000;
+
+/// How a request ended at its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperationEnd {
+    /// A whole answer of a backend server.
+    Answered {
+        /// HTTP code.
+        status: u16,
+    },
+    /// The entry host says that it did not run.
+    NotRun {
+        /// HTTP code.
+        status: u16,
+        /// Why.
+        reason: String,
+    },
+    /// The entry host does not know whether it ran.
+    Unknown {
+        /// HTTP code.
+        status: u16,
+        /// Why.
+        reason: String,
+    },
+    /// No whole answer came; it may have run.
+    Lost(String),
+    /// No entry host could be connected to.
+    NotSent,
+}
+
+/// One request of a load.
+#[derive(Clone, Debug)]
+pub struct OperationRecord {
+    /// Its own id, sent as `x-operation`.
+    pub operation: String,
+    /// Index of its kind in the settings.
+    pub kind: usize,
+    /// When it was due, in microseconds since 1970.
+    pub due_us: u64,
+    /// Time from when it was due to its end.
+    pub latency: Duration,
+    /// The entry host that it was sent to.
+    pub entry: Option<SocketAddr>,
+    /// How it ended.
+    pub end: OperationEnd,
+}
+
+/// What became of the requests of one kind, or of all.
+#[derive(Clone, Debug)]
+pub struct RequestReport {
+    /// Name of the kind.
+    pub name: String,
+    /// Requests that were due.
+    pub sent: u64,
+    /// Whole answers of backend servers with a code under 400.
+    pub served: u64,
+    /// Requests that the entry host says did not run.
+    pub not_run: u64,
+    /// Requests whose outcome the entry host says is unknown.
+    pub unknown: u64,
+    /// Requests without a whole answer.
+    pub lost: u64,
+    /// Requests that found no entry host.
+    pub not_sent: u64,
+    /// Whole answers by code, those of the entry hosts included.
+    pub statuses: BTreeMap<u16, u64>,
+    /// Refusals and losses by reason.
+    pub reasons: BTreeMap<String, u64>,
+    /// Latencies of all requests that were served, in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+impl RequestReport {
+    fn new(name: &str) -> Self {
+        RequestReport {
+            name: name.to_owned(),
+            sent: 0,
+            served: 0,
+            not_run: 0,
+            unknown: 0,
+            lost: 0,
+            not_sent: 0,
+            statuses: BTreeMap::new(),
+            reasons: BTreeMap::new(),
+            latency: new_histogram(),
+        }
+    }
+
+    fn push(&mut self, record: &OperationRecord) {
+        self.sent += 1;
+        match &record.end {
+            OperationEnd::Answered { status } => {
+                *self.statuses.entry(*status).or_default() += 1;
+                if *status < 400 {
+                    self.served += 1;
+                    let latency_us = record.latency.as_micros() as u64;
+                    self.latency.saturating_record(latency_us);
+                }
+            }
+            OperationEnd::NotRun { status, reason } => {
+                self.not_run += 1;
+                *self.statuses.entry(*status).or_default() += 1;
+                *self.reasons.entry(reason.clone()).or_default() += 1;
+            }
+            OperationEnd::Unknown { status, reason } => {
+                self.unknown += 1;
+                *self.statuses.entry(*status).or_default() += 1;
+                *self.reasons.entry(reason.clone()).or_default() += 1;
+            }
+            OperationEnd::Lost(reason) => {
+                self.lost += 1;
+                *self.reasons.entry(reason.clone()).or_default() += 1;
+            }
+            OperationEnd::NotSent => {
+                self.not_sent += 1;
+                *self.reasons.entry("not-sent".to_owned()).or_default() += 1;
+            }
+        }
+    }
+
+    /// A quantile of the served requests' latencies, in milliseconds.
+    pub fn latency_ms(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1000.0
+    }
+
+    /// Served requests as a share of those that were due.
+    pub fn served_share(&self) -> f64 {
+        self.served as f64 / self.sent.max(1) as f64
+    }
+
+    /// Served requests within a time, as a share of those that were due.
+    pub fn served_share_within(&self, limit: Duration) -> f64 {
+        let within = self
+            .latency
+            .count_between(0, limit.as_micros().min(LATENCY_US_MAX as u128) as u64);
+        within as f64 / self.sent.max(1) as f64
+    }
+}
+
+/// What became of a load.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    /// All requests.
+    pub total: RequestReport,
+    /// By kind, in the order of the settings.
+    pub kinds: Vec<RequestReport>,
+    /// Every request, in the order of their ends.
+    pub operations: Vec<OperationRecord>,
+}
+
+impl LoadReport {
+    pub(crate) fn new(requests: &[LoadRequest]) -> Self {
+        LoadReport {
+            total: RequestReport::new("total"),
+            kinds: requests
+                .iter()
+                .map(|request| RequestReport::new(&request.name))
+                .collect(),
+            operations: Vec::new(),
+        }
+    }
+
+    pub(crate) fn push(&mut self, record: OperationRecord) {
+        self.total.push(&record);
+        self.kinds[record.kind].push(&record);
+        self.operations.push(record);
+    }
+
+    /// The report of a kind, by its name.
+    pub fn kind(&self, name: &str) -> Option<&RequestReport> {
+        self.kinds.iter().find(|kind| kind.name == name)
+    }
+}
+
+/// An empty histogram of microseconds, with three significant digits.
+pub(crate) fn new_histogram() -> Histogram<u64> {
+    let histogram = Histogram::new_with_bounds(1, LATENCY_US_MAX, 3);
+    // The bounds are constants that fit each other.
+    histogram.unwrap_or_else(|err| unreachable!("{err}"))
+}
--- /dev/null
+++ b/crates/standins/src/load/sender.rs
@@ -0,0 +1,142 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use {
+    reqwest::{Client, Response},
+    tokio::time::Instant,
+};
+
+use crate::{
+    StandinError,
+    load::{EntryLookup, LoadRequest, LoadSettings, OperationEnd, OperationRecord},
+};
+
+/// A request and the time at which it is due.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DueRequest {
+    pub(crate) number: usize,
+    /// Index of its kind in the settings.
+    pub(crate) kind: usize,
+    pub(crate) due: Instant,
+    pub(crate) due_us: u64,
+}
+
+/// One caller.
+#[derive(Debug)]
+pub(crate) struct RequestSender {
+    settings: Arc<LoadSettings>,
+    http: Client,
+    lookup: EntryLookup,
+}
+
+impl RequestSender {
+    pub(crate) fn open(settings: Arc<LoadSettings>, number: usize) -> Result<Self, StandinError> {
+        let http = Client::builder()
+            .no_proxy()
+            .retry(reqwest::retry::never())
+            .local_address(settings.source)
+            .tcp_nodelay(true)
+            .connect_timeout(settings.timeout)
+            .build()
+            .map_err(|err| StandinError::new("set up caller", number, err))?;
+        let mut known = settings.entries.clone();
+        let turn = number % known.len();
+        known.rotate_left(turn);
+        Ok(RequestSender {
+            lookup: EntryLookup::new(known),
+            settings,
+            http,
+        })
+    }
+
+    /// Sends a request to the best address; to the next one where it could
+    /// not connect, since then nothing was sent.
+    pub(crate) async fn send(&self, due: DueRequest) -> OperationRecord {
+        let request = &self.settings.requests[due.kind];
+        let operation = format!("{}-{}", self.settings.seed, due.number);
+        let sending = self.try_addresses(request, &operation);
+        let (end, entry) = match tokio::time::timeout(self.settings.timeout, sending).await {
+            Ok(result) => result,
+            Err(_) => (OperationEnd::Lost("caller-timeout".to_owned()), None),
+        };
+        OperationRecord {
+            operation,
+            kind: due.kind,
+            due_us: due.due_us,
+            latency: due.due.elapsed(),
+            entry,
+            end,
+        }
+    }
+
+    async fn try_addresses(
+        &self,
+        request: &LoadRequest,
+        operation: &str,
+    ) -> (OperationEnd, Option<SocketAddr>) {
+        let addresses = match self.settings.look_up {
+            true => self.lookup.addresses(&self.http).await,
+            false => self.settings.entries.clone(),
+        };
+        let mut last = OperationEnd::Lost("no-address".to_owned());
+        for address in addresses {
+            match self.try_once(request, operation, address).await {
+                Ok(answer) => return (read_answer(answer).await, Some(address)),
+                Err(err) if err.is_connect() => {
+                    last = OperationEnd::NotSent;
+                }
+                Err(err) => return (OperationEnd::Lost(cause_of(&err)), Some(address)),
+            }
+        }
+        (last, None)
+    }
+
+    async fn try_once(
+        &self,
+        request: &LoadRequest,
+        operation: &str,
+        address: SocketAddr,
+    ) -> reqwest::Result<Response> {
+        let mut builder = self
+            .http
+            .request(
+                request.method.clone(),
+                format!("http://{address}{}", request.path),
+            )
+            .header("x-operation", operation)
+            .body(request.body.clone());
+        if !request.key.is_empty() {
+            builder = builder.header("mangostep-key", &request.key);
+        }
+        builder.send().await
+    }
+}
+
+async fn read_answer(answer: Response) -> OperationEnd {
+    let header = |name| {
+        let value = answer.headers().get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let status = answer.status().as_u16();
+    let outcome = header("mangostep-outcome");
+    let reason = header("mangostep-reason").unwrap_or_default();
+    if let Err(err) = answer.bytes().await {
+        return OperationEnd::Lost(cause_of(&err));
+    }
+    match outcome.as_deref() {
+        Some("not-run") => OperationEnd::NotRun { status, reason },
+        Some(_) => OperationEnd::Unknown { status, reason },
+        None => OperationEnd::Answered { status },
+    }
+}
+
+/// A word for a transport error, one of a few.
+fn cause_of(err: &reqwest::Error) -> String {
+    let word = if err.is_timeout() {
+        "transport-timeout"
+    } else if err.is_body() || err.is_decode() {
+        "answer-cut"
+    } else {
+        "connection-lost"
+    };
+    word.to_owned()
+}
--- /dev/null
+++ b/crates/standins/src/usage.rs
@@ -0,0 +1,41 @@
+use std::{fs, time::Duration};
+
+use crate::StandinError;
+
+/// Processor time and memory of a process, as the kernel counts them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProcessUsage {
+    /// Processor time of all its threads since its start.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub resident_bytes: u64,
+}
+
+impl ProcessUsage {
+    /// Reads the counters of a running process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such process.
+    pub fn of(pid: u32) -> Result<Self, StandinError> {
+        let failed = |err| StandinError::new("read usage", pid, err);
+        let mut cpu_ns = 0;
+        for task in fs::read_dir(format!("/proc/{pid}/task")).map_err(failed)? {
+            let path = task.map_err(failed)?.path().join("schedstat");
+            // A thread may end while the others are read.
+            let text = fs::read_to_string(path).unwrap_or_default();
+            cpu_ns += first_number(&text);
+        }
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).map_err(failed)?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        Ok(ProcessUsage {
+            cpu: Duration::from_nanos(cpu_ns),
+            resident_bytes: first_number(resident.unwrap_or_default()) * 1024,
+        })
+    }
+}
+
+fn first_number(text: &str) -> u64 {
+    let word = text.split_whitespace().next();
+    word.and_then(|word| word.parse().ok()).unwrap_or(0)
+}
