--- a/crates/mangostep-daemon/src/front/lookup.rs
+++ b/crates/mangostep-daemon/src/front/lookup.rs
@@ -29,8 +29,11 @@
     let mut hosts: Vec<_> = fleet.hosts.iter().filter(|host| !host.leaving).collect();
     hosts.sort_by_key(|host| (host.zone != *zone, host.name != context.settings.host));
     let mut addresses: Vec<String> = hosts.iter().map(|host| host.front.to_string()).collect();
-    if addresses.is_empty() && !context.leaving.load(Ordering::Acquire) {
-        addresses.push(context.settings.front.to_string());
+    if addresses.is_empty()
+        && !context.leaving.load(Ordering::Acquire)
+        && let Some(own) = context.addresses.get()
+    {
+        addresses.push(own.front.to_string());
     }
     let keep_ms = u64::try_from(context.settings.lookup_keep.as_millis()).unwrap_or(u64::MAX);
     let body = serde_json::to_string(&EntryAnswer { addresses, keep_ms }).unwrap_or_default();
--- a/crates/standins/tests/path.rs
+++ b/crates/standins/tests/path.rs
@@ -4,6 +4,7 @@
 use standins::{
     StandinError,
     fleet::{FleetSettings, NORTH_KEY, ServerGroup, TestFleet},
+    load::EntryAnswer,
 };
 
 #[tokio::test]
@@ -50,3 +51,15 @@
     })
     .await
 }
+
+#[tokio::test]
+async fn a_lookup_names_the_address_that_was_bound() -> Result<(), Box<dyn std::error::Error>> {
+    let fleet = open_small().await?;
+    let front = fleet.hosts[0].addresses().front;
+    let answer = fleet.caller(0, "")?.get("/_mangostep/entry").await?;
+    let entry: EntryAnswer = serde_json::from_slice(&answer.body)?;
+    assert_eq!(entry.addresses, [front]);
+    assert!(entry.keep_ms > 0);
+    fleet.close().await;
+    Ok(())
+}
