--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`backend`]: a backend server with slots, cold start and gray failures.
 //! * [`proxy`]: a TCP forwarder with faults by source IP number.
 //! * [`fleet`]: [`fleet::TestFleet`] starts all of these and real entry hosts.
+//! * [`generate`]: object sets of any size.
 //! * [`load`]: callers that send at a steady rate.
 //! * [`experiments`]: measurements against stated bounds.
 
@@ -20,6 +21,7 @@
 pub mod backend;
 pub mod experiments;
 pub mod fleet;
+pub mod generate;
 pub mod load;
 pub mod platform;
 pub mod proxy;
