Add the experiments leave and silent, and audit answers against what ran

Cause: planned stops and silent connections are promised but were not measured. Change: experiments leave and silent; audit_runs compares each caller's answer with the records of the backend servers (doubled, false not run, phantom); the load caller counts answers to another request. Conclusion: both entered in EXPERIMENTS.

--- /dev/null
+++ b/crates/standins/src/experiments/leave.rs
@@ -0,0 +1,114 @@
+use std::time::{Duration, Instant};
+
+use crate::{
+    StandinError,
+    backend::BackendSettings,
+    experiments::{Bound, ExperimentSettings, Figures},
+    fleet::{
+        FleetSettings, NORTH_KEY, ProcessSignal, ReadyProbe, ServerGroup, TestFleet, wait_until,
+    },
+    load::{LoadRequest, LoadSettings, audit_runs, run_load},
+};
+
+const RATE_PER_S: f64 = 150.0;
+const LOAD: Duration = Duration::from_secs(32);
+const LOOKUP_KEEP_MS: u64 = 1000;
+const STOP_LIMIT: Duration = Duration::from_secs(20);
+const WORK_MS: u64 = 20;
+
+/// Replaces every entry host, one after the other, under load.
+pub(crate) async fn run(settings: ExperimentSettings) -> Result<Figures, StandinError> {
+    let mut fleet = TestFleet::open(FleetSettings {
+        servers: vec![ServerGroup {
+            backend: BackendSettings {
+                work_ms: WORK_MS,
+                slots: 8,
+                cold_slots: 4,
+                ..Default::default()
+            },
+            ..Default::default()
+        }],
+        host_settings: serde_json::json!({ "lookup_keep_ms": LOOKUP_KEEP_MS }),
+        ..Default::default()
+    })
+    .await?;
+    let load = tokio::spawn(run_load(load_settings(&fleet, settings.seed)));
+    let end = Instant::now() + LOAD;
+    let mut replaced = 0;
+    let mut slowest = Duration::ZERO;
+    for index in 0..fleet.hosts.len() {
+        if Instant::now() >= end {
+            break;
+        }
+        let took = replace_host(&mut fleet, index).await?;
+        slowest = slowest.max(took);
+        replaced += 1;
+    }
+    let report = load
+        .await
+        .map_err(|err| StandinError::new("await load", "load caller", err))??;
+    let audit = audit_runs(&report, &fleet.records().await?, &["book"]);
+    eprintln!("reasons: {}", report.reasons_line());
+    let total = &report.total;
+    let cut = total.lost + total.unknown + total.not_sent;
+    let mut figures = Figures::default();
+    let mut count = |name, value: u64, bound| figures.push(name, value as f64, "requests", bound);
+    count("sent", total.sent, Bound::None);
+    count("cut", cut, Bound::AtMost(0.0));
+    count("refused", total.not_run, Bound::None);
+    count("doubled", audit.doubled, Bound::AtMost(0.0));
+    count("false_not_run", audit.false_not_run, Bound::AtMost(0.0));
+    let hosts = fleet.hosts.len() as f64;
+    figures.push(
+        "hosts_replaced",
+        f64::from(replaced),
+        "hosts",
+        Bound::AtLeast(hosts),
+    );
+    figures.push("slowest_stop", slowest.as_secs_f64(), "s", Bound::None);
+    figures.push("served", total.served_share() * 100.0, "%", Bound::None);
+    fleet.close().await;
+    Ok(figures)
+}
+
+fn load_settings(fleet: &TestFleet, seed: u64) -> LoadSettings {
+    let request = |name: &str, method, path: &str| LoadRequest {
+        name: name.to_owned(),
+        method,
+        path: path.to_owned(),
+        key: NORTH_KEY.to_owned(),
+        ..Default::default()
+    };
+    LoadSettings {
+        entries: fleet
+            .hosts
+            .iter()
+            .map(|host| host.addresses().front)
+            .collect(),
+        rate_per_s: RATE_PER_S,
+        duration: LOAD,
+        requests: vec![
+            request("lookup", reqwest::Method::GET, "/lookup/1"),
+            request("book", reqwest::Method::POST, "/book/1"),
+        ],
+        seed,
+        ..Default::default()
+    }
+}
+
+/// Stops a host in a planned way and starts it again; returns how long the
+/// stop took.
+async fn replace_host(fleet: &mut TestFleet, index: usize) -> Result<Duration, StandinError> {
+    let start = Instant::now();
+    fleet.hosts[index].signal(ProcessSignal::Terminate);
+    fleet.hosts[index].wait(STOP_LIMIT).await?;
+    let took = start.elapsed();
+    fleet.hosts[index].restart().await?;
+    let probe = ReadyProbe::default();
+    let caller = fleet.caller(index, &probe.key)?;
+    wait_until("replaced host ready", STOP_LIMIT, || async {
+        matches!(caller.get(&probe.path).await, Ok(answer) if answer.status == 200)
+    })
+    .await?;
+    Ok(took)
+}
--- a/crates/standins/src/experiments/mod.rs
+++ b/crates/standins/src/experiments/mod.rs
@@ -6,7 +6,9 @@
 //! `name value unit bound verdict`.
 
 mod figures;
+mod leave;
 mod path_overhead;
+mod silent;
 
 use std::{future::Future, pin::Pin, time::Duration};
 
@@ -39,8 +41,20 @@
 }
 
 /// All experiments, in the order of the listing.
-pub const EXPERIMENTS: &[Experiment] = &[Experiment {
-    name: "path-overhead",
-    about: "time that an entry host adds to a request, and requests a core",
-    run: |settings| Box::pin(path_overhead::run(settings)),
-}];
+pub const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "path-overhead",
+        about: "time that an entry host adds to a request, and requests a core",
+        run: |settings| Box::pin(path_overhead::run(settings)),
+    },
+    Experiment {
+        name: "leave",
+        about: "every entry host is replaced under load: no request is cut",
+        run: |settings| Box::pin(leave::run(settings)),
+    },
+    Experiment {
+        name: "silent",
+        about: "open connections to the backend servers go silent under load",
+        run: |settings| Box::pin(silent::run(settings)),
+    },
+];
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -3,6 +3,7 @@
 //! Latencies count from the time at which a request was due, so that a slow
 //! answer does not hide the ones that had to wait behind it.
 
+mod audit;
 mod lookup;
 mod report;
 mod sender;
@@ -25,6 +26,7 @@
 };
 
 pub use crate::load::{
+    audit::{RunAudit, audit_runs},
     lookup::{EntryAnswer, EntryLookup},
     report::{LoadReport, OperationEnd, OperationRecord, RequestReport},
 };
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -15,6 +15,11 @@
         /// HTTP code.
         status: u16,
     },
+    /// A whole answer of a backend server to another request.
+    Crossed {
+        /// HTTP code.
+        status: u16,
+    },
     /// The entry host says that it did not run.
     NotRun {
         /// HTTP code.
@@ -61,6 +66,8 @@
     pub sent: u64,
     /// Whole answers of backend servers with a code under 400.
     pub served: u64,
+    /// Whole answers to another request.
+    pub crossed: u64,
     /// Requests that the entry host says did not run.
     pub not_run: u64,
     /// Requests whose outcome the entry host says is unknown.
@@ -83,6 +90,7 @@
             name: name.to_owned(),
             sent: 0,
             served: 0,
+            crossed: 0,
             not_run: 0,
             unknown: 0,
             lost: 0,
@@ -104,6 +112,10 @@
                     self.latency.saturating_record(latency_us);
                 }
             }
+            OperationEnd::Crossed { status } => {
+                self.crossed += 1;
+                *self.statuses.entry(*status).or_default() += 1;
+            }
             OperationEnd::NotRun { status, reason } => {
                 self.not_run += 1;
                 *self.statuses.entry(*status).or_default() += 1;
@@ -173,6 +185,15 @@
         self.operations.push(record);
     }
 
+    /// Requests by the reason of their refusal or loss, as one line.
+    pub fn reasons_line(&self) -> String {
+        let reasons = self.total.reasons.iter();
+        let words: Vec<String> = reasons
+            .map(|(reason, count)| format!("{reason} {count}"))
+            .collect();
+        words.join(", ")
+    }
+
     /// The report of a kind, by its name.
     pub fn kind(&self, name: &str) -> Option<&RequestReport> {
         self.kinds.iter().find(|kind| kind.name == name)
--- a/crates/standins/src/load/sender.rs
+++ b/crates/standins/src/load/sender.rs
@@ -80,7 +80,7 @@
         let mut last = OperationEnd::Lost("no-address".to_owned());
         for address in addresses {
             match self.try_once(request, operation, address).await {
-                Ok(answer) => return (read_answer(answer).await, Some(address)),
+                Ok(answer) => return (read_answer(answer, operation).await, Some(address)),
                 Err(err) if err.is_connect() => {
                     last = OperationEnd::NotSent;
                 }
@@ -111,7 +111,7 @@
     }
 }
 
-async fn read_answer(answer: Response) -> OperationEnd {
+async fn read_answer(answer: Response, operation: &str) -> OperationEnd {
     let header = |name| {
         let value = answer.headers().get(name)?;
         value.to_str().ok().map(str::to_owned)
@@ -119,16 +119,28 @@
     let status = answer.status().as_u16();
     let outcome = header("mangostep-outcome");
     let reason = header("mangostep-reason").unwrap_or_default();
-    if let Err(err) = answer.bytes().await {
-        return OperationEnd::Lost(cause_of(&err));
-    }
+    let body = match answer.bytes().await {
+        Ok(body) => body,
+        Err(err) => return OperationEnd::Lost(cause_of(&err)),
+    };
     match outcome.as_deref() {
         Some("not-run") => OperationEnd::NotRun { status, reason },
         Some(_) => OperationEnd::Unknown { status, reason },
+        None if is_crossed(&body, operation) => OperationEnd::Crossed { status },
         None => OperationEnd::Answered { status },
     }
 }
 
+/// Whether a backend server's answer names another operation.
+fn is_crossed(body: &[u8], operation: &str) -> bool {
+    let Ok(told) = serde_json::from_slice::<serde_json::Value>(body) else {
+        return false;
+    };
+    told.get("operation")
+        .is_some_and(|other| other != operation)
+        || told.get("crossed").is_some()
+}
+
 /// A word for a transport error, one of a few.
 fn cause_of(err: &reqwest::Error) -> String {
     let word = if err.is_timeout() {
