--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -9,6 +9,8 @@
 //!
 //! * [`Machine`] is the trait that every policy type implements.
 //! * [`HostLease`], [`TakerWatch`] and [`MemberSet`] are the host lease.
+//! * [`SlotKeeper`] grants the slots of one cell, [`EjectionFloor`] bounds its
+//!   ejections, and [`CellChooser`] picks the cell for a request.
 //! * [`ServerDetector`] is what a slot keeper asks about its backend servers.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
@@ -36,6 +38,11 @@
     },
     machine::Machine,
     rendezvous::rendezvous_order,
-    slots::{OutcomeKind, OutcomeSample, ServerAction, ServerDetector, ServerVerdict},
+    slots::{
+        CellChooser, ChooserSettings, ColdStart, ColdStartSettings, EjectionFloor, FloorSettings,
+        KeeperAction, KeeperEvent, KeeperSettings, KeeperTerm, ListedServer, OutcomeKind,
+        OutcomeSample, PermitKey, ProbeResult, QuietDetector, RetryBudget, ServerAction,
+        ServerDetector, ServerVerdict, SlotAsk, SlotKeeper, SlotRefusal, SlotRelease, ZoneRamp,
+    },
     time::MonotonicTime,
 };
--- /dev/null
+++ b/crates/mangostep-policy/src/slots/quiet_detector.rs
@@ -0,0 +1,13 @@
+use crate::{MonotonicTime, OutcomeSample, ServerDetector, ServerVerdict};
+
+/// A detector that finds nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct QuietDetector;
+
+impl ServerDetector for QuietDetector {
+    fn observe(&mut self, _now: MonotonicTime, _sample: OutcomeSample<'_>) {}
+
+    fn verdicts(&mut self, _now: MonotonicTime, _verdicts: &mut Vec<ServerVerdict>) {}
+
+    fn forget(&mut self, _server: &str) {}
+}
