Renew long ejections and tell the first arbiter from a later one

Cause: the detector's holds grow past the longest grant of the arbiter, and the first arbiter of a service had to wait for grants that cannot exist.

--- a/crates/mangostep-objects/src/route_index.rs
+++ b/crates/mangostep-objects/src/route_index.rs
@@ -15,6 +15,11 @@
 type PathMap = HashMap<String, Vec<usize>>;
 
 impl RouteIndex {
+    /// All routes, in the order of the set.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter()
+    }
+
     pub(crate) fn build(routes: &[Route]) -> Self {
         let mut index = RouteIndex {
             routes: routes.to_vec(),
--- a/crates/mangostep-objects/src/snapshot.rs
+++ b/crates/mangostep-objects/src/snapshot.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
     AvailabilityZone, KeyDigest, Limit, NormalPath, ObjectSet, Route, RouteAccess, Service,
@@ -97,6 +97,16 @@
         Some(RouteTarget { route, service })
     }
 
+    /// The longest deadline of the routes to a service; zero without routes.
+    pub fn longest_deadline(&self, service: &str) -> Duration {
+        let routes = self.routes.iter();
+        let deadlines = routes.filter(|route| route.service == service);
+        deadlines
+            .map(|route| route.deadline)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Finds the workspace that a presented key acts for.
     pub fn workspace_of(&self, secret: &[u8]) -> Option<&str> {
         let digest = KeyDigest::of(secret);
--- a/crates/mangostep-policy/src/slots/ejection_floor.rs
+++ b/crates/mangostep-policy/src/slots/ejection_floor.rs
@@ -37,8 +37,8 @@
 /// use mangostep_policy::{EjectionFloor, FloorSettings, MonotonicTime};
 ///
 /// let settings = FloorSettings { floor: 2, ..Default::default() };
-/// let mut arbiter = EjectionFloor::open(MonotonicTime::ZERO, settings);
-/// let now = MonotonicTime::ZERO + settings.hold_max;
+/// let mut arbiter = EjectionFloor::open(settings);
+/// let now = MonotonicTime::ZERO;
 /// arbiter.set_servers(["s1", "s2", "s3"]);
 /// let hold = Duration::from_secs(5);
 /// assert!(arbiter.eject(now, "s1", hold));
@@ -56,16 +56,24 @@
 }
 
 impl EjectionFloor {
-    /// Opens an arbiter that follows an unknown one.
-    pub fn open(now: MonotonicTime, settings: FloorSettings) -> Self {
+    /// Opens the first arbiter of a service.
+    pub fn open(settings: FloorSettings) -> Self {
         EjectionFloor {
             settings,
-            grants_from: now + settings.hold_max,
+            grants_from: MonotonicTime::ZERO,
             servers: BTreeSet::new(),
             ejections: BTreeMap::new(),
         }
     }
 
+    /// Opens an arbiter that follows one whose grants are unknown.
+    pub fn follow(now: MonotonicTime, settings: FloorSettings) -> Self {
+        EjectionFloor {
+            grants_from: now + settings.hold_max,
+            ..EjectionFloor::open(settings)
+        }
+    }
+
     /// Takes over a new floor.
     pub fn set_floor(&mut self, floor: usize) {
         self.settings.floor = floor;
--- a/crates/mangostep-policy/src/slots/keeper.rs
+++ b/crates/mangostep-policy/src/slots/keeper.rs
@@ -13,8 +13,8 @@
     Machine, MonotonicTime, OutcomeKind, OutcomeSample, RetryBudget, ServerAction, ServerDetector,
     ServerVerdict, ZoneRamp,
     slots::{
-        ColdStart, ColdStartSettings, KeeperAction, KeeperEvent, ListedServer, PermitKey,
-        ProbeResult, SlotAsk, SlotRefusal, SlotRelease, fair_queue::FairQueue,
+        ColdStart, ColdStartSettings, FloorSettings, KeeperAction, KeeperEvent, ListedServer,
+        PermitKey, ProbeResult, SlotAsk, SlotRefusal, SlotRelease, fair_queue::FairQueue,
         server_state::ServerState,
     },
 };
@@ -45,6 +45,8 @@
     pub try_timeout: Duration,
     /// Longest time that one ask waits before it is answered.
     pub wait_max: Duration,
+    /// Longest ejection that is asked for at once; a longer one is renewed.
+    pub ejection_max: Duration,
     /// Retries as a share of first tries.
     pub retry_share: f64,
     /// Retries that may come at once.
@@ -59,6 +61,7 @@
             validity_margin: Duration::from_millis(100),
             try_timeout: Duration::from_secs(2),
             wait_max: Duration::from_millis(300),
+            ejection_max: FloorSettings::default().hold_max,
             retry_share: 0.1,
             retry_burst: 10.0,
         }
@@ -579,7 +582,7 @@
                 .find(|verdict| verdict.server == server.name);
             actions.push(KeeperAction::AskEjection {
                 server: server.name.clone(),
-                hold,
+                hold: hold.min(self.settings.ejection_max),
                 reason: verdict.map_or("asked-again", |verdict| verdict.reason),
             });
         }
--- a/crates/mangostep-policy/src/slots/server_state.rs
+++ b/crates/mangostep-policy/src/slots/server_state.rs
@@ -15,6 +15,9 @@
 /// Time between two asks for the same ejection.
 const EJECTION_ASK_EVERY: Duration = Duration::from_secs(1);
 
+/// How long before its end an ejection is asked for again.
+const EJECTION_RENEW_BEFORE: Duration = Duration::from_secs(3);
+
 /// What the keeper of a cell knows of one backend server.
 #[derive(Debug)]
 pub(crate) struct ServerState {
@@ -37,7 +40,7 @@
 /// An ejection that the detector wants.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct WantedEjection {
-    hold: Duration,
+    until: MonotonicTime,
     next_ask: MonotonicTime,
 }
 
@@ -130,7 +133,7 @@
 
     pub(crate) fn want_ejection(&mut self, now: MonotonicTime, hold: Duration) {
         self.wanted = Some(WantedEjection {
-            hold,
+            until: now + hold,
             next_ask: now,
         });
     }
@@ -144,17 +147,18 @@
     /// The hold time of an ejection that is to be asked for now.
     pub(crate) fn due_ejection(&mut self, now: MonotonicTime) -> Option<Duration> {
         let wanted = self.wanted.as_mut()?;
-        if now < wanted.next_ask {
+        if now < wanted.next_ask || now >= wanted.until {
             return None;
         }
         wanted.next_ask = now + EJECTION_ASK_EVERY;
-        Some(wanted.hold)
+        Some(wanted.until.since(now))
     }
 
     /// Takes over a granted ejection, unless it is no longer wanted.
     pub(crate) fn hold_ejection(&mut self, until: MonotonicTime) {
-        if self.wanted.take().is_some() {
+        if let Some(wanted) = &mut self.wanted {
             self.ejected_until = self.ejected_until.max(Some(until));
+            wanted.next_ask = until - EJECTION_RENEW_BEFORE;
         }
     }
 
@@ -162,8 +166,11 @@
     pub(crate) fn end_ejection(&mut self, now: MonotonicTime) {
         if self.ejected_until.is_some_and(|until| until <= now) {
             self.ejected_until = None;
-            self.weight = 1.0;
             self.turn_cold(now);
         }
+        if self.wanted.is_some_and(|wanted| wanted.until <= now) {
+            self.wanted = None;
+            self.weight = 1.0;
+        }
     }
 }
--- a/crates/mangostep-policy/tests/slot_keeper.rs
+++ b/crates/mangostep-policy/tests/slot_keeper.rs
@@ -26,6 +26,7 @@
     validity_margin: Duration::from_millis(100),
     try_timeout: Duration::from_secs(1),
     wait_max: Duration::from_millis(300),
+    ejection_max: Duration::from_secs(1),
     retry_share: 0.1,
     retry_burst: 3.0,
 };
