Grant slots by the keeper of each cell over the inner protocol

Ruled out: holding a permit only for the longest try, since a paused host may send late; a permit ends with the request's deadline. Ruled out: a stopgap that takes every server as cold: with the keeper alive behind a one-way cut, a cold server would get twice what it bears. Instead the keeper tells its deputy which servers are warm, and a stopgap, and a new keeper until the old permits have ended, grants half the slots of those only. Change: SlotDuty as keeper, asker, arbiter and prober; releases go out one message at a time and gather meanwhile; a draining or cold answer counts when it comes beside a whole answer too; nothing is sent once the deadline has passed.

--- a/crates/mangostep-daemon/src/front/forward.rs
+++ b/crates/mangostep-daemon/src/front/forward.rs
@@ -110,6 +110,11 @@
     let service = job.target.service;
     let now = handler.context.clock.now();
     let time_left = job.deadline.since(now).min(service.try_timeout);
+    // The process may have been paused since the slot was granted.
+    if time_left.is_zero() {
+        permit.close(ServerOutcome::Unused);
+        return failed(Refusal::not_run(504, "deadline"), false);
+    }
     let own = ServerHeaders {
         dialect: &service.dialect,
         request_id: job.request_id,
@@ -187,7 +192,7 @@
 fn judge_answer<'r>(
     job: ForwardJob<'_>,
     answer: reqwest::Response,
-    permit: OpenPermit,
+    mut permit: OpenPermit,
     pump: Option<BodyPump<'r>>,
 ) -> TryResult<'r> {
     let dialect = &job.target.service.dialect;
@@ -208,5 +213,10 @@
         permit.close(ServerOutcome::Refused);
         return failed(Refusal::not_run(503, "server-refused"), true);
     }
+    if headers.contains_key(dialect.draining_header.as_str()) {
+        permit.note_said(ServerOutcome::Draining);
+    } else if headers.contains_key(dialect.cold_header.as_str()) {
+        permit.note_said(ServerOutcome::Cold);
+    }
     TryResult::Answered(Box::new(answer), permit, pump)
 }
--- a/crates/mangostep-daemon/src/peer/gate.rs
+++ b/crates/mangostep-daemon/src/peer/gate.rs
@@ -78,10 +78,12 @@
         if !speaks_with(hello.get_protocol()) {
             return Err(capnp::Error::failed("another protocol version".to_owned()));
         }
+        let host = hello.get_host()?.to_string()?;
         let mut answer = results.get();
         write_hello(&self.duties.context, answer.reborrow().init_hello());
         answer.set_link(new_client(PeerServer {
             duties: self.duties.clone(),
+            host,
         }));
         Ok(())
     }
@@ -99,6 +101,8 @@
 /// Answers the calls of one peer; each duty answers its own.
 struct PeerServer {
     duties: Rc<PeerDuties>,
+    /// Name of the peer.
+    host: String,
 }
 
 impl peer_link::Server for PeerServer {
@@ -153,4 +157,37 @@
         answer.set_json(fleet_json(context));
         Ok(())
     }
+
+    async fn ask_slot(
+        self: Rc<Self>,
+        params: peer_link::AskSlotParams,
+        results: peer_link::AskSlotResults,
+    ) -> Result<(), capnp::Error> {
+        self.duties.slots.serve_ask(params, results).await
+    }
+
+    async fn release_slots(
+        self: Rc<Self>,
+        params: peer_link::ReleaseSlotsParams,
+        results: peer_link::ReleaseSlotsResults,
+    ) -> Result<(), capnp::Error> {
+        let slots = &self.duties.slots;
+        slots.serve_releases(&self.host, &params, results)
+    }
+
+    async fn ask_ejection(
+        self: Rc<Self>,
+        params: peer_link::AskEjectionParams,
+        results: peer_link::AskEjectionResults,
+    ) -> Result<(), capnp::Error> {
+        self.duties.slots.serve_ejection(&params, results)
+    }
+
+    async fn hand_over(
+        self: Rc<Self>,
+        params: peer_link::HandOverParams,
+        results: peer_link::HandOverResults,
+    ) -> Result<(), capnp::Error> {
+        self.duties.slots.serve_news(&params, results)
+    }
 }
--- a/crates/mangostep-daemon/src/peer/mod.rs
+++ b/crates/mangostep-daemon/src/peer/mod.rs
@@ -26,7 +26,7 @@
     pub(crate) context: Arc<HostContext>,
     pub(crate) links: Rc<PeerLinks>,
     pub(crate) limits: LimitDuty,
-    pub(crate) slots: SlotDuty,
+    pub(crate) slots: Rc<SlotDuty>,
     pub(crate) relay: Rc<RelayDuty>,
     pub(crate) vouching: Rc<VouchDuty>,
 }
@@ -38,11 +38,11 @@
         let vouching = VouchDuty::new(context.clone(), links.clone(), relay.clone());
         Rc::new(PeerDuties {
             context: context.clone(),
-            links,
+            links: links.clone(),
             relay,
             vouching: Rc::new(vouching),
             limits: LimitDuty::new(context.clone()),
-            slots: SlotDuty::new(context.clone()),
+            slots: SlotDuty::new(context.clone(), links),
         })
     }
 }
@@ -83,6 +83,7 @@
             }
             tokio::task::spawn_local(duties.vouching.clone().run());
             tokio::task::spawn_local(duties.relay.clone().run());
+            tokio::task::spawn_local(duties.slots.clone().run());
             tokio::task::spawn_local(serve_asks(duties, asks));
             // An error means that the sender is gone, which is a stop too.
             let _ = stopped.wait_for(|phase| *phase == StopPhase::Stopped).await;
--- /dev/null
+++ b/crates/mangostep-daemon/src/slots/cell.rs
@@ -0,0 +1,322 @@
+use std::{collections::HashMap, net::SocketAddr};
+
+use {
+    mangostep_objects::ZoneState,
+    mangostep_platform::{DirectoryEntry, DirectoryState},
+    mangostep_policy::{
+        KeeperAction, KeeperEvent, KeeperSettings, KeeperTerm, ListedServer, Machine, OutcomeKind,
+        PermitKey, SlotAsk, SlotKeeper, SlotRefusal, SlotRelease,
+    },
+    slab::Slab,
+    slotmap::{Key, KeyData},
+    tokio::sync::oneshot,
+};
+
+use crate::{
+    prelude::*,
+    slots::{
+        CellDetector,
+        messages::{CellAnswer, CellGrant, CellRefusal, CellRelease},
+    },
+};
+
+/// In which right this host grants slots of a cell now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CellRight {
+    /// It holds the cell under an epoch.
+    Held(u64),
+    /// The holder could not be reached.
+    Stopgap,
+}
+
+/// An ejection that the keeper wants.
+#[derive(Debug)]
+pub(super) struct EjectionWish {
+    pub(super) server: String,
+    pub(super) hold: Duration,
+    pub(super) reason: &'static str,
+}
+
+/// One cell that this host keeps, with the askers that wait.
+#[derive(Debug)]
+pub(super) struct KeptCell {
+    service: String,
+    zone: String,
+    keeper: SlotKeeper<CellDetector>,
+    settings: KeeperSettings,
+    right: CellRight,
+    /// Makes the permits of one keeper unlike those of any other.
+    salt: u64,
+    tickets: Slab<oneshot::Sender<CellAnswer>>,
+    config_version: u64,
+    listed: Vec<ListedServer>,
+    addresses: HashMap<String, SocketAddr>,
+    wishes: Vec<EjectionWish>,
+}
+
+impl KeptCell {
+    /// Opens a keeper with the servers that the one before knew as warm.
+    ///
+    /// Returns none when the configuration has no such cell.
+    pub(super) fn open(
+        context: &HostContext,
+        service: &str,
+        zone: &str,
+        right: CellRight,
+        warm: &[String],
+    ) -> Option<Self> {
+        let snapshot = context.snapshot.load();
+        let settings = keeper_settings(&snapshot, service)?;
+        let now = context.clock.now();
+        let term = term_of(right, now, &settings);
+        let mut cell = KeptCell {
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            keeper: SlotKeeper::open(settings, term, CellDetector::default()),
+            settings,
+            right,
+            salt: rand::random(),
+            tickets: Slab::new(),
+            config_version: 0,
+            listed: Vec::new(),
+            addresses: HashMap::new(),
+            wishes: Vec::new(),
+        };
+        cell.refresh(context, now);
+        cell.keeper.set_warm(warm.iter().map(String::as_str));
+        Some(cell)
+    }
+
+    pub(super) fn service(&self) -> &str {
+        &self.service
+    }
+
+    pub(super) fn zone(&self) -> &str {
+        &self.zone
+    }
+
+    pub(super) fn right(&self) -> CellRight {
+        self.right
+    }
+
+    /// Whether permits are out or askers wait.
+    pub(super) fn is_busy(&self) -> bool {
+        self.keeper.running() > 0 || self.keeper.waiting() > 0
+    }
+
+    /// The servers that are known to be warm.
+    pub(super) fn warm(&self, now: MonotonicTime) -> Vec<String> {
+        self.keeper.warm(now).map(str::to_owned).collect()
+    }
+
+    /// The servers of the cell with their addresses.
+    pub(super) fn addresses(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
+        let pairs = self.addresses.iter();
+        pairs.map(|(name, address)| (name.as_str(), *address))
+    }
+
+    /// Turns a stopgap into the holder, whose full right begins once the
+    /// permits of the holder before have run out.
+    pub(super) fn promote(&mut self, now: MonotonicTime, epoch: u64) {
+        self.right = CellRight::Held(epoch);
+        let term = term_of(self.right, now, &self.settings);
+        self.keeper.set_term(term);
+    }
+
+    /// Takes over what the configuration and the directory say now.
+    pub(super) fn refresh(&mut self, context: &HostContext, now: MonotonicTime) {
+        let snapshot = context.snapshot.load();
+        if self.config_version != snapshot.version() {
+            self.config_version = snapshot.version();
+            if let Some(settings) = keeper_settings(&snapshot, &self.service) {
+                self.settings = settings;
+                self.keeper.set_settings(settings);
+            }
+            let state = if snapshot.zone_is_in(&self.zone) {
+                ZoneState::In
+            } else {
+                ZoneState::Out
+            };
+            let zone = snapshot.zone(&self.zone);
+            let ramp = zone.map_or(Duration::ZERO, |zone| zone.return_ramp);
+            self.keeper.set_zone(now, state, ramp);
+            self.apply(now, KeeperEvent::Tick);
+        }
+        let servers = context.servers.load();
+        let own =
+            |entry: &&DirectoryEntry| entry.service == self.service && entry.zone == self.zone;
+        let listed: Vec<ListedServer> = servers.iter().filter(own).map(list).collect();
+        self.addresses = servers
+            .iter()
+            .filter(own)
+            .map(|entry| (entry.name.clone(), entry.address))
+            .collect();
+        if listed != self.listed {
+            self.listed = listed.clone();
+            self.apply(now, KeeperEvent::Servers(listed));
+        }
+    }
+
+    /// Puts an ask in; the answer comes through `reply`.
+    pub(super) fn ask(
+        &mut self,
+        now: MonotonicTime,
+        ask: SlotAsk,
+        reply: oneshot::Sender<CellAnswer>,
+    ) {
+        let ticket = self.tickets.insert(reply) as u64;
+        self.apply(now, KeeperEvent::Ask(SlotAsk { ticket, ..ask }));
+    }
+
+    /// Takes a slot back.
+    pub(super) fn release(&mut self, now: MonotonicTime, source: &str, release: &CellRelease) {
+        let event = SlotRelease {
+            permit: KeyData::from_ffi(release.permit ^ self.salt).into(),
+            source: source.to_owned(),
+            outcome: release.outcome,
+            header: release.header,
+            total: release.total,
+        };
+        self.apply(now, KeeperEvent::Release(event));
+    }
+
+    /// Lets the keeper act if its time has come.
+    pub(super) fn tick(&mut self, now: MonotonicTime) {
+        if self.keeper.next_wake().is_some_and(|wake| wake <= now) {
+            self.apply(now, KeeperEvent::Tick);
+        }
+    }
+
+    /// Applies one event and answers the askers that it settles.
+    pub(super) fn apply(&mut self, now: MonotonicTime, event: KeeperEvent) {
+        let mut actions = Vec::new();
+        self.keeper.apply(now, event, &mut actions);
+        while let Some(action) = actions.pop() {
+            match action {
+                KeeperAction::Grant {
+                    ticket,
+                    permit,
+                    server,
+                    valid,
+                } => {
+                    if !self.grant(now, ticket, permit, &server, valid) {
+                        let unused = KeeperEvent::Release(unused_release(permit));
+                        self.keeper.apply(now, unused, &mut actions);
+                    }
+                }
+                KeeperAction::Refuse {
+                    ticket,
+                    refusal,
+                    retry_after,
+                } => {
+                    let refusal = refusal_of(refusal);
+                    self.answer(now, ticket, Err((refusal, retry_after)));
+                }
+                KeeperAction::AskEjection {
+                    server,
+                    hold,
+                    reason,
+                } => self.wishes.push(EjectionWish {
+                    server,
+                    hold,
+                    reason,
+                }),
+            }
+        }
+    }
+
+    /// The ejections that the keeper has asked for since the last call.
+    pub(super) fn take_wishes(&mut self) -> Vec<EjectionWish> {
+        std::mem::take(&mut self.wishes)
+    }
+
+    /// Tells all that wait that this host keeps the cell no more.
+    pub(super) fn close(self) {
+        for (_, reply) in self.tickets {
+            // The asker may have given up.
+            let _ = reply.send(CellAnswer::not_keeper());
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        permit: PermitKey,
+        server: &str,
+        valid: Duration,
+    ) -> bool {
+        let Some(address) = self.addresses.get(server).copied() else {
+            let refusal = (CellRefusal::NoServer, Duration::ZERO);
+            self.answer(now, ticket, Err(refusal));
+            return false;
+        };
+        let grant = CellGrant {
+            permit: permit.data().as_ffi() ^ self.salt,
+            server: server.to_owned(),
+            address,
+            valid,
+        };
+        self.answer(now, ticket, Ok(grant))
+    }
+
+    /// Answers an asker; false when it has gone away.
+    fn answer(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        result: Result<CellGrant, (CellRefusal, Duration)>,
+    ) -> bool {
+        let load = self.keeper.load(now);
+        let Some(reply) = self.tickets.try_remove(ticket as usize) else {
+            return false;
+        };
+        reply.send(CellAnswer { result, load }).is_ok()
+    }
+}
+
+fn keeper_settings(
+    snapshot: &mangostep_objects::Snapshot,
+    service: &str,
+) -> Option<KeeperSettings> {
+    let longest = snapshot.longest_deadline(service);
+    let service = snapshot.service(service)?;
+    Some(KeeperSettings::from_service(service, longest))
+}
+
+/// Nobody has held a cell before its first epoch, so no permit is out.
+fn term_of(right: CellRight, now: MonotonicTime, settings: &KeeperSettings) -> KeeperTerm {
+    match right {
+        CellRight::Stopgap => KeeperTerm::Stopgap,
+        CellRight::Held(epoch) if epoch <= 1 => KeeperTerm::HeldFrom(now),
+        CellRight::Held(_) => {
+            KeeperTerm::HeldFrom(now + settings.validity_max + settings.validity_margin)
+        }
+    }
+}
+
+fn list(entry: &DirectoryEntry) -> ListedServer {
+    ListedServer {
+        name: entry.name.clone(),
+        is_leaving: entry.state == DirectoryState::Leaving,
+    }
+}
+
+fn unused_release(permit: PermitKey) -> SlotRelease {
+    SlotRelease {
+        permit,
+        source: String::new(),
+        outcome: OutcomeKind::Unused,
+        header: Duration::ZERO,
+        total: Duration::ZERO,
+    }
+}
+
+fn refusal_of(refusal: SlotRefusal) -> CellRefusal {
+    match refusal {
+        SlotRefusal::Late => CellRefusal::Late,
+        SlotRefusal::NoServer => CellRefusal::NoServer,
+        SlotRefusal::OverBudget => CellRefusal::OverBudget,
+        SlotRefusal::ZoneOut => CellRefusal::ZoneOut,
+    }
+}
--- a/crates/mangostep-daemon/src/slots/mod.rs
+++ b/crates/mangostep-daemon/src/slots/mod.rs
@@ -1,60 +1,94 @@
 //! Slots of backend servers: the keeper's side and the asking side.
+//!
+//! # Parts
+//!
+//! * `asking` finds a slot for a request of this host: own availability zone
+//!   first, then the others; the keeper first, then its stopgap.
+//! * `keeping` answers asks out of the cells that this host keeps, and tells
+//!   the host that would follow which servers are warm.
+//! * `releasing` gives slots back, in batches for each keeper.
+//! * `ejecting` asks the arbiter for ejections, and is the arbiter.
+//! * `probing` probes the servers of the cells that this host holds.
+//! * `serving` reads and writes the calls of other hosts.
 
+mod asking;
+mod cell;
+mod ejecting;
+mod keeping;
+mod messages;
 mod permit;
+mod probing;
+mod releasing;
+mod serving;
 mod types;
 
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
+
+use mangostep_policy::CellChooser;
+
+use crate::{
+    context::FleetView,
+    peer::PeerLinks,
+    prelude::*,
+    slots::{cell::KeptCell, ejecting::FloorRecord, keeping::NewsRecord, messages::CellRelease},
+};
+
 pub(crate) use crate::slots::{
     permit::OpenPermit,
     types::{ServerOutcome, SlotGrant, SlotReport, SlotRequest},
 };
 
-use {mangostep_platform::DirectoryState, std::cell::Cell};
-
-use crate::{prelude::*, refusal::Refusal};
+/// Judges the servers of every cell.
+type CellDetector = mangostep_policy::QuietDetector;
 
 /// The peer thread's part in slots.
-///
-/// It spreads requests evenly over the servers that the directory lists.
-#[derive(Debug)]
 pub(crate) struct SlotDuty {
     context: Arc<HostContext>,
-    turn: Cell<usize>,
+    links: Rc<PeerLinks>,
+    prober: reqwest::Client,
+    /// Cells that this host keeps, by resource name.
+    cells: RefCell<HashMap<String, KeptCell>>,
+    /// Choice among the cells of each service.
+    choosers: RefCell<HashMap<String, CellChooser>>,
+    /// Releases that wait for each keeper's answer to the ones before.
+    releases: RefCell<HashMap<SocketAddr, Vec<CellRelease>>>,
+    /// Hosts that did not answer, with the time to ask them again.
+    unreachable: RefCell<HashMap<SocketAddr, MonotonicTime>>,
+    floors: RefCell<HashMap<String, FloorRecord>>,
+    /// News of warm servers that other keepers told this host.
+    heard: RefCell<HashMap<String, NewsRecord>>,
+    /// News that this host told, by cell and host.
+    told: RefCell<HashMap<String, NewsRecord>>,
+    seen_fleet: RefCell<Arc<FleetView>>,
 }
 
 impl SlotDuty {
-    pub(crate) fn new(context: Arc<HostContext>) -> Self {
-        SlotDuty {
+    pub(crate) fn new(context: Arc<HostContext>, links: Rc<PeerLinks>) -> Rc<Self> {
+        Rc::new(SlotDuty {
+            prober: prober(&context),
             context,
-            turn: Cell::new(0),
-        }
-    }
-
-    /// Finds a slot for a request that waits on this host.
-    pub(crate) async fn open_permit(&self, request: SlotRequest) -> Result<SlotGrant, Refusal> {
-        let servers = self.context.servers.load();
-        let usable: Vec<_> = servers
-            .iter()
-            .filter(|entry| {
-                entry.service == request.service
-                    && entry.state == DirectoryState::Live
-                    && !request.avoid.contains(&entry.name)
-            })
-            .collect();
-        if usable.is_empty() {
-            return Err(Refusal::not_run(503, "no-server"));
-        }
-        let turn = self.turn.get();
-        self.turn.set(turn.wrapping_add(1));
-        let chosen = usable[turn % usable.len()];
-        Ok(SlotGrant {
-            permit: turn as u64,
-            service: request.service,
-            zone: chosen.zone.clone(),
-            server: chosen.name.clone(),
-            address: chosen.address,
+            links,
+            cells: RefCell::default(),
+            choosers: RefCell::default(),
+            releases: RefCell::default(),
+            unreachable: RefCell::default(),
+            floors: RefCell::default(),
+            heard: RefCell::default(),
+            told: RefCell::default(),
+            seen_fleet: RefCell::default(),
         })
     }
+}
 
-    /// Takes the report of a request that ended.
-    pub(crate) fn release(&self, _report: SlotReport) {}
+/// The client for probes, which must not share a pool with real work.
+fn prober(context: &HostContext) -> reqwest::Client {
+    let builder = reqwest::Client::builder()
+        .no_proxy()
+        .http1_only()
+        .local_address(context.settings.outgoing)
+        .pool_max_idle_per_host(1);
+    builder.build().unwrap_or_else(|err| {
+        slog::warn!(context.log, "plain client for probes"; "cause" => err.to_string());
+        reqwest::Client::new()
+    })
 }
--- a/crates/mangostep-daemon/src/slots/permit.rs
+++ b/crates/mangostep-daemon/src/slots/permit.rs
@@ -14,8 +14,8 @@
     ring: PeerRing,
     opened: MonotonicTime,
     header: Duration,
-    address: SocketAddr,
-    server: String,
+    /// What the server said of itself beside its answer.
+    said: Option<ServerOutcome>,
 }
 
 impl OpenPermit {
@@ -23,19 +23,27 @@
         OpenPermit {
             opened: ring.context().clock.now(),
             header: Duration::ZERO,
-            address: grant.address,
-            server: grant.server.clone(),
+            said: None,
             grant: Some(grant),
             ring,
         }
     }
 
+    /// Name of the backend server.
     pub(crate) fn server(&self) -> &str {
-        &self.server
+        self.grant.as_ref().map_or("", |grant| &grant.server)
     }
 
+    /// IP number and port of the backend server.
     pub(crate) fn address(&self) -> SocketAddr {
-        self.address
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        self.grant.as_ref().map_or(nowhere, |grant| grant.address)
+    }
+
+    /// Takes note that the server said beside its answer that it leaves or is
+    /// in cold start.
+    pub(crate) fn note_said(&mut self, said: ServerOutcome) {
+        self.said = Some(said);
     }
 
     /// Takes note that the head of the answer came now.
@@ -52,6 +60,10 @@
         let Some(grant) = self.grant.take() else {
             return;
         };
+        let outcome = match (outcome, self.said) {
+            (ServerOutcome::Answered | ServerOutcome::ServerError, Some(said)) => said,
+            (outcome, _) => outcome,
+        };
         let total = self.ring.context().clock.now().since(self.opened);
         self.ring.release(SlotReport {
             grant,
--- /dev/null
+++ b/crates/mangostep-daemon/src/slots/probing.rs
@@ -0,0 +1,92 @@
+use std::{net::SocketAddr, rc::Rc};
+
+use {
+    mangostep_objects::ServiceDialect,
+    mangostep_policy::{KeeperEvent, OutcomeKind, ProbeResult},
+};
+
+use crate::{
+    prelude::*,
+    slots::{SlotDuty, cell::CellRight},
+};
+
+/// Longest time that one probe may take.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+
+/// The next probes of a cell.
+struct ProbePlan {
+    every: Duration,
+    dialect: ServiceDialect,
+    servers: Vec<(String, SocketAddr)>,
+}
+
+impl SlotDuty {
+    /// Probes the servers of a cell for as long as this host holds it.
+    pub(super) fn spawn_probes(self: &Rc<Self>, resource: String) {
+        tokio::task::spawn_local(self.clone().probe_cell(resource));
+    }
+
+    async fn probe_cell(self: Rc<Self>, resource: String) {
+        loop {
+            let Some(plan) = self.probe_plan(&resource) else {
+                return;
+            };
+            for (server, address) in plan.servers {
+                let probing = self.clone().probe_server(
+                    resource.clone(),
+                    server,
+                    address,
+                    plan.dialect.clone(),
+                );
+                tokio::task::spawn_local(probing);
+            }
+            tokio::time::sleep(plan.every).await;
+        }
+    }
+
+    fn probe_plan(&self, resource: &str) -> Option<ProbePlan> {
+        let cells = self.cells.borrow();
+        let cell = cells.get(resource)?;
+        let CellRight::Held(_) = cell.right() else {
+            return None;
+        };
+        let snapshot = self.context.snapshot.load();
+        let service = snapshot.service(cell.service())?;
+        let servers = cell.addresses();
+        let servers = servers.map(|(name, address)| (name.to_owned(), address));
+        let every = service.probe_every.max(Duration::from_millis(100));
+        Some(ProbePlan {
+            every,
+            dialect: service.dialect.clone(),
+            servers: servers.collect(),
+        })
+    }
+
+    async fn probe_server(
+        self: Rc<Self>,
+        resource: String,
+        server: String,
+        address: SocketAddr,
+        dialect: ServiceDialect,
+    ) {
+        let begun = self.context.clock.now();
+        let url = format!("http://{address}{}", dialect.health_path);
+        let answer = self.prober.get(url).timeout(PROBE_LIMIT).send().await;
+        let outcome = match answer {
+            Ok(answer) if answer.headers().contains_key(&dialect.cold_header) => OutcomeKind::Cold,
+            Ok(answer) if answer.status().is_server_error() => OutcomeKind::ServerError,
+            Ok(_) => OutcomeKind::Answered,
+            Err(err) if err.is_connect() => OutcomeKind::ConnectFailed,
+            Err(_) => OutcomeKind::Timeout,
+        };
+        let now = self.context.clock.now();
+        let probe = ProbeResult {
+            server,
+            outcome,
+            total: now.since(begun),
+        };
+        if let Some(cell) = self.cells.borrow_mut().get_mut(&resource) {
+            cell.apply(now, KeeperEvent::Probe(probe));
+        }
+    }
+}
--- a/crates/mangostep-daemon/src/slots/types.rs
+++ b/crates/mangostep-daemon/src/slots/types.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use mangostep_objects::RequestKind;
+use {mangostep_objects::RequestKind, mangostep_policy::OutcomeKind};
 
 use crate::prelude::*;
 
@@ -24,6 +24,8 @@
     pub(crate) zone: String,
     pub(crate) server: String,
     pub(crate) address: SocketAddr,
+    /// Peer address of the host that granted it; none for this host.
+    pub(crate) granter: Option<SocketAddr>,
 }
 
 /// How a request ended at its backend server.
@@ -50,6 +52,23 @@
 }
 
 impl ServerOutcome {
+    /// The outcome as the policies know it.
+    pub(crate) fn kind(self) -> OutcomeKind {
+        match self {
+            ServerOutcome::Answered => OutcomeKind::Answered,
+            ServerOutcome::ServerError => OutcomeKind::ServerError,
+            ServerOutcome::Refused => OutcomeKind::Refused,
+            ServerOutcome::Draining => OutcomeKind::Draining,
+            ServerOutcome::Cold => OutcomeKind::Cold,
+            ServerOutcome::ConnectFailed => OutcomeKind::ConnectFailed,
+            ServerOutcome::CutAnswer => OutcomeKind::CutAnswer,
+            ServerOutcome::Timeout => OutcomeKind::Timeout,
+            ServerOutcome::WrongAnswer => OutcomeKind::WrongAnswer,
+            ServerOutcome::CallerGone => OutcomeKind::CallerGone,
+            ServerOutcome::Unused => OutcomeKind::Unused,
+        }
+    }
+
     pub(crate) fn from_status(status: u16) -> Self {
         if status >= 500 {
             ServerOutcome::ServerError
--- a/crates/mangostep-policy/src/slots/keeper.rs
+++ b/crates/mangostep-policy/src/slots/keeper.rs
@@ -516,10 +516,10 @@
             return;
         };
         let server = &mut self.servers[*key];
-        match probe.outcome {
-            OutcomeKind::Draining => server.drain(now),
-            OutcomeKind::Cold => server.turn_cold(now),
-            _ => {}
+        // A probe that misleads must not take a server out of use, so its word
+        // that the server leaves does not count here.
+        if probe.outcome == OutcomeKind::Cold {
+            server.turn_cold(now);
         }
         self.detector.observe(
             now,
