Treat a server that fails three times in a row as cold

Cause: a restarted server fails for a while and says nothing of its cold start. Ruled out: the first failure alone, since a share of errors is normal. The property test was wrong where it counted an ejection from the answer instead of from the ask, as the daemon does; it failed with the fixed seed of .cargo/config.toml and is as strict now.

--- a/crates/mangostep-policy/src/slots/keeper.rs
+++ b/crates/mangostep-policy/src/slots/keeper.rs
@@ -437,8 +437,12 @@
             // A server that takes no connection has likely been restarted.
             OutcomeKind::Cold | OutcomeKind::ConnectFailed => server.turn_cold(now),
             OutcomeKind::Refused => server.pause(now),
-            OutcomeKind::Answered => self.note_service_time(release.total),
-            _ => {}
+            OutcomeKind::Answered => {
+                server.note_answer(now, true);
+                self.note_service_time(release.total);
+            }
+            OutcomeKind::CallerGone | OutcomeKind::Unused => {}
+            _ => server.note_answer(now, false),
         }
         let server = &self.servers[key];
         self.detector.observe(
--- a/crates/mangostep-policy/src/slots/server_state.rs
+++ b/crates/mangostep-policy/src/slots/server_state.rs
@@ -12,6 +12,9 @@
 /// that still lists it as live.
 const DRAIN_HOLD: Duration = Duration::from_secs(60);
 
+/// Failures in a row from which a server counts as cold.
+const FAILURES_OF_COLD: u32 = 3;
+
 /// Time between two asks for the same ejection.
 const EJECTION_ASK_EVERY: Duration = Duration::from_secs(1);
 
@@ -33,6 +36,8 @@
     directory_leaving: bool,
     drained_until: Option<MonotonicTime>,
     paused_until: MonotonicTime,
+    /// Failures since the last answer.
+    failures: u32,
     wanted: Option<WantedEjection>,
     ejected_until: Option<MonotonicTime>,
 }
@@ -57,6 +62,7 @@
             directory_leaving: false,
             drained_until: None,
             paused_until: MonotonicTime::ZERO,
+            failures: 0,
             wanted: None,
             ejected_until: None,
         }
@@ -110,6 +116,15 @@
         self.cold_start.turn_cold(now);
     }
 
+    /// Takes note of an answer, or of its failure: a server that fails again
+    /// and again has likely been restarted.
+    pub(crate) fn note_answer(&mut self, now: MonotonicTime, is_good: bool) {
+        self.failures = if is_good { 0 } else { self.failures + 1 };
+        if self.failures >= FAILURES_OF_COLD {
+            self.turn_cold(now);
+        }
+    }
+
     pub(crate) fn drain(&mut self, now: MonotonicTime) {
         self.drained_until = Some(now + DRAIN_HOLD);
     }
--- a/crates/mangostep-policy/tests/slot_keeper.rs
+++ b/crates/mangostep-policy/tests/slot_keeper.rs
@@ -113,7 +113,8 @@
     leaving: BTreeSet<String>,
     is_out: bool,
     ejected: BTreeMap<String, MonotonicTime>,
-    wanted: Vec<(String, Duration)>,
+    /// Ejections asked for, with the end that counts from the ask.
+    wanted: Vec<(String, MonotonicTime)>,
     avoids: BTreeMap<u64, String>,
     busy_until_cold: BTreeMap<String, MonotonicTime>,
 }
@@ -179,7 +180,7 @@
                 KeeperAction::AskEjection { server, hold, .. } => {
                     // The daemon gives an unanswered ask up before the next.
                     self.wanted.retain(|(name, _)| *name != server);
-                    self.wanted.push((server, hold));
+                    self.wanted.push((server, self.now + hold));
                 }
             }
         }
@@ -315,10 +316,10 @@
                 KeeperEvent::Tick
             }
             Step::Eject { is_granted } => {
-                let Some((server, hold)) = seen.wanted.pop() else {
+                let Some((server, until)) = seen.wanted.pop() else {
                     continue;
                 };
-                let until = is_granted.then_some(seen.now + hold);
+                let until = is_granted.then_some(until);
                 if let Some(until) = until {
                     let end = seen.ejected.entry(server.clone()).or_default();
                     *end = (*end).max(until);
