--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -9,6 +9,9 @@
 //!
 //! * [`Machine`] is the trait that every policy type implements.
 //! * [`HostLease`], [`TakerWatch`] and [`MemberSet`] are the host lease.
+//! * [`SlotKeeper`] grants the slots of one cell, [`EjectionFloor`] bounds its
+//!   ejections, and [`CellChooser`] picks the cell for a request.
+//! * [`ServerDetector`] is what a slot keeper asks about its backend servers.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
 //! # Example
@@ -25,6 +28,7 @@
 mod lease;
 mod machine;
 mod rendezvous;
+mod slots;
 mod time;
 
 pub use crate::{
@@ -34,5 +38,11 @@
     },
     machine::Machine,
     rendezvous::rendezvous_order,
+    slots::{
+        CellChooser, ChooserSettings, ColdStart, ColdStartSettings, EjectionFloor, FloorSettings,
+        KeeperAction, KeeperEvent, KeeperSettings, KeeperTerm, ListedServer, OutcomeKind,
+        OutcomeSample, PermitKey, ProbeResult, QuietDetector, RetryBudget, ServerAction,
+        ServerDetector, ServerVerdict, SlotAsk, SlotKeeper, SlotRefusal, SlotRelease, ZoneRamp,
+    },
     time::MonotonicTime,
 };
