Count fleet-wide limits in homes that share rate and burst

Cause: no workspace may get more than its rate and burst over all hosts together, whatever is lost, doubled or late. Change: LimitHome (integer token buckets, absent ones follow from the home's age, hand-over, settling of changed limits, fractions that shrink as their giver refills) and TokenAsker (batches, nearest home first, nothing stored). An answer that counts twice is not found: its waiters are gone, so the open ask is a second guard only. Conclusion: every window stays within rate and burst, exactly.

--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -9,6 +9,8 @@
 //!
 //! * [`Machine`] is the trait that every policy type implements.
 //! * [`HostLease`], [`TakerWatch`] and [`MemberSet`] are the host lease.
+//! * [`LimitHome`] counts a share of the limits that hold fleet-wide, and
+//!   [`TokenAsker`] finds tokens for the requests that wait on a host.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
 //! # Example
@@ -23,6 +25,7 @@
 //! ```
 
 mod lease;
+mod limits;
 mod machine;
 mod rendezvous;
 mod time;
@@ -32,6 +35,11 @@
         Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
         MemberPlanner, MemberSet, Renewal, SHARDS, Standing, TakerWatch, cell_name, shard_name,
     },
+    limits::{
+        AskEntry, AskId, AskRefusal, AskerAction, AskerEvent, AskerSettings, BucketState,
+        FleetLimit, HandOverState, HomeKey, HomeRoute, LimitHome, LimitShare, TokenAsk, TokenAsker,
+        TokenFraction, TokenGrant, WaiterId, WaitingRequest, shard_of,
+    },
     machine::Machine,
     rendezvous::rendezvous_order,
     time::MonotonicTime,
--- /dev/null
+++ b/crates/mangostep-policy/src/limits/asker.rs
@@ -0,0 +1,446 @@
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    time::Duration,
+};
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    Machine, MonotonicTime,
+    limits::{home::TokenGrant, placement::HomeKey},
+};
+
+new_key_type! {
+    /// Names an ask that is under way.
+    pub struct AskId;
+    struct WaiterKey;
+}
+
+/// Names a waiting request; the caller chooses it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct WaiterId(pub u64);
+
+/// Times of a [`TokenAsker`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AskerSettings {
+    /// Time between two asks of one home; requests that come between wait
+    /// for the next one together.
+    pub batch: Duration,
+    /// Time after which the next home is asked.
+    pub ask_timeout: Duration,
+    /// Time from the asking in which tokens may be used.
+    pub validity: Duration,
+    /// Time for which a home that did not answer is asked last.
+    pub home_rest: Duration,
+}
+
+impl Default for AskerSettings {
+    fn default() -> Self {
+        AskerSettings {
+            batch: Duration::from_millis(1),
+            ask_timeout: Duration::from_millis(100),
+            validity: Duration::from_millis(250),
+            home_rest: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A home and how it is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HomeRoute {
+    /// The home.
+    pub home: HomeKey,
+    /// Whether this host is the home, so that asks need no message.
+    pub is_local: bool,
+}
+
+/// A request that waits for a token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitingRequest {
+    /// The caller's name for it.
+    pub id: WaiterId,
+    /// Name that the limit holds for.
+    pub name: String,
+    /// Time after which a token is of no use.
+    pub deadline: MonotonicTime,
+    /// The homes of the name, the one to ask first in front.
+    pub homes: Vec<HomeRoute>,
+}
+
+/// What happens to a [`TokenAsker`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AskerEvent {
+    /// A request waits.
+    Arrived(WaitingRequest),
+    /// A home answered: a grant for each of the ask's entries, in order.
+    Answered(AskId, Vec<TokenGrant>),
+    /// A home could not be reached, or is no home.
+    Failed(AskId),
+    /// Time went on.
+    Tick,
+}
+
+/// What the caller of a [`TokenAsker`] carries out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AskerAction {
+    /// Ask a home.
+    Ask(TokenAsk),
+    /// Let a request run.
+    Admit(WaiterId),
+    /// Refuse a request.
+    Refuse(WaiterId, AskRefusal),
+}
+
+/// One message to a home.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TokenAsk {
+    /// Names the ask in its answer.
+    pub id: AskId,
+    /// The home that is asked.
+    pub home: HomeKey,
+    /// What is asked for.
+    pub entries: Vec<AskEntry>,
+}
+
+/// Tokens asked for one name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AskEntry {
+    /// Name that the limit holds for.
+    pub name: String,
+    /// Tokens, one for each request that waits now.
+    pub tokens: u32,
+    /// Whether all other homes were asked, so that this one should gather
+    /// their fractions.
+    pub is_last: bool,
+}
+
+/// Why a request got no token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskRefusal {
+    /// Every home that answered was out of tokens; a token comes back after
+    /// the given time.
+    Dry(Duration),
+    /// No home answered.
+    Unreachable,
+    /// The deadline passed.
+    Late,
+}
+
+/// Finds tokens for the requests that wait on one host.
+///
+/// It keeps no token: what a home gives runs a request that waits, or is
+/// lost. An answer counts once, and only within its validity, so a lost,
+/// doubled or late answer never admits more than the home deducted.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use mangostep_policy::{
+///     AskerAction, AskerEvent, AskerSettings, HomeKey, HomeRoute, Machine, MonotonicTime,
+///     TokenAsker, TokenGrant, WaiterId, WaitingRequest,
+/// };
+///
+/// let mut asker = TokenAsker::new(AskerSettings::default());
+/// let mut actions = Vec::new();
+/// let now = MonotonicTime::from_micros(10);
+/// let request = WaitingRequest {
+///     id: WaiterId(7),
+///     name: "w:repairs".to_owned(),
+///     deadline: now + Duration::from_secs(1),
+///     homes: vec![HomeRoute { home: HomeKey { shard: 1, index: 0 }, is_local: false }],
+/// };
+/// asker.apply(now, AskerEvent::Arrived(request), &mut actions);
+/// let Some(AskerAction::Ask(ask)) = actions.pop() else { panic!("asks at once") };
+/// let grant = TokenGrant { granted: 1, ..Default::default() };
+/// asker.apply(now, AskerEvent::Answered(ask.id, vec![grant]), &mut actions);
+/// assert_eq!(actions, [AskerAction::Admit(WaiterId(7))]);
+/// ```
+#[derive(Debug, Default)]
+pub struct TokenAsker {
+    settings: AskerSettings,
+    waiters: SlotMap<WaiterKey, Waiter>,
+    asks: SlotMap<AskId, OpenAsk>,
+    /// Asks in the order of their timeouts.
+    timeouts: VecDeque<(MonotonicTime, AskId)>,
+    queues: BTreeMap<HomeKey, HomeQueue>,
+    /// Homes that did not answer, until when they are asked last.
+    resting: HashMap<HomeKey, MonotonicTime>,
+    /// Names that no home has a token for, until when.
+    dry: HashMap<String, MonotonicTime>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    request: WaitingRequest,
+    /// Homes not asked yet, the next one in front.
+    ahead: VecDeque<HomeRoute>,
+    /// Earliest time at which a home that answered has a token.
+    token_at: Option<MonotonicTime>,
+}
+
+#[derive(Debug)]
+struct OpenAsk {
+    home: HomeKey,
+    asked: MonotonicTime,
+    entries: Vec<(AskEntry, Vec<WaiterKey>)>,
+}
+
+#[derive(Debug, Default)]
+struct HomeQueue {
+    is_local: bool,
+    waiters: Vec<(WaiterKey, bool)>,
+    /// Earliest time of the next ask.
+    next_ask: MonotonicTime,
+}
+
+impl TokenAsker {
+    /// Makes an asker that knows of no request.
+    pub fn new(settings: AskerSettings) -> Self {
+        TokenAsker {
+            settings,
+            ..Default::default()
+        }
+    }
+
+    /// Requests that wait now.
+    pub fn waiting(&self) -> usize {
+        self.waiters.len()
+    }
+
+    fn arrive(
+        &mut self,
+        now: MonotonicTime,
+        request: WaitingRequest,
+        actions: &mut Vec<AskerAction>,
+    ) {
+        if let Some(until) = self.dry.get(&request.name).copied() {
+            if now < until {
+                let refusal = AskRefusal::Dry(until.since(now));
+                actions.push(AskerAction::Refuse(request.id, refusal));
+                return;
+            }
+            self.dry.remove(&request.name);
+        }
+        let mut homes = request.homes.clone();
+        homes.sort_by_key(|route| self.is_resting(now, route.home));
+        let key = self.waiters.insert(Waiter {
+            ahead: homes.into(),
+            token_at: None,
+            request,
+        });
+        self.ask_next(now, key, actions);
+    }
+
+    fn is_resting(&self, now: MonotonicTime, home: HomeKey) -> bool {
+        self.resting.get(&home).is_some_and(|until| now < *until)
+    }
+
+    /// Queues a request for its next home, or refuses it.
+    fn ask_next(&mut self, now: MonotonicTime, key: WaiterKey, actions: &mut Vec<AskerAction>) {
+        let Some(waiter) = self.waiters.get_mut(key) else {
+            return;
+        };
+        if now >= waiter.request.deadline {
+            self.refuse(now, key, AskRefusal::Late, actions);
+            return;
+        }
+        if let Some(route) = waiter.ahead.pop_front() {
+            let is_last = waiter.ahead.is_empty();
+            let queue = self.queues.entry(route.home).or_default();
+            queue.is_local = route.is_local;
+            queue.waiters.push((key, is_last));
+            return;
+        }
+        let refusal = match waiter.token_at {
+            Some(at) => AskRefusal::Dry(at.since(now)),
+            None => AskRefusal::Unreachable,
+        };
+        self.refuse(now, key, refusal, actions);
+    }
+
+    fn refuse(
+        &mut self,
+        now: MonotonicTime,
+        key: WaiterKey,
+        refusal: AskRefusal,
+        actions: &mut Vec<AskerAction>,
+    ) {
+        let Some(waiter) = self.waiters.remove(key) else {
+            return;
+        };
+        if let AskRefusal::Dry(wait) = refusal {
+            self.dry.insert(waiter.request.name, now + wait);
+        }
+        actions.push(AskerAction::Refuse(waiter.request.id, refusal));
+    }
+
+    fn settle(
+        &mut self,
+        now: MonotonicTime,
+        id: AskId,
+        grants: &[TokenGrant],
+        actions: &mut Vec<AskerAction>,
+    ) {
+        let is_valid = self
+            .asks
+            .get(id)
+            .is_some_and(|ask| now.since(ask.asked) <= self.settings.validity);
+        if !is_valid {
+            self.fail(now, id, actions);
+            return;
+        }
+        // An answer that comes twice finds no ask the second time.
+        let Some(ask) = self.asks.remove(id) else {
+            return;
+        };
+        self.resting.remove(&ask.home);
+        for (place, (entry, keys)) in ask.entries.into_iter().enumerate() {
+            let grant = grants.get(place).copied().unwrap_or_default();
+            let mut left = grant.granted.min(entry.tokens);
+            for key in keys {
+                if left > 0 && self.admit(now, key, actions) {
+                    left -= 1;
+                    continue;
+                }
+                self.note_token(key, ask.asked + grant.retry_after);
+                self.ask_next(now, key, actions);
+            }
+        }
+    }
+
+    /// Admits a request unless its deadline passed.
+    fn admit(
+        &mut self,
+        now: MonotonicTime,
+        key: WaiterKey,
+        actions: &mut Vec<AskerAction>,
+    ) -> bool {
+        let is_in_time = self
+            .waiters
+            .get(key)
+            .is_some_and(|waiter| now < waiter.request.deadline);
+        if !is_in_time {
+            return false;
+        }
+        if let Some(waiter) = self.waiters.remove(key) {
+            actions.push(AskerAction::Admit(waiter.request.id));
+        }
+        true
+    }
+
+    fn note_token(&mut self, key: WaiterKey, at: MonotonicTime) {
+        if let Some(waiter) = self.waiters.get_mut(key) {
+            let earliest = waiter.token_at.map_or(at, |earlier| earlier.min(at));
+            waiter.token_at = Some(earliest);
+        }
+    }
+
+    fn fail(&mut self, now: MonotonicTime, id: AskId, actions: &mut Vec<AskerAction>) {
+        let Some(ask) = self.asks.remove(id) else {
+            return;
+        };
+        self.resting.insert(ask.home, now + self.settings.home_rest);
+        for key in ask.entries.into_iter().flat_map(|(_, keys)| keys) {
+            self.ask_next(now, key, actions);
+        }
+    }
+
+    fn expire(&mut self, now: MonotonicTime, actions: &mut Vec<AskerAction>) {
+        while let Some((due, id)) = self.timeouts.front().copied() {
+            if now < due && self.asks.contains_key(id) {
+                break;
+            }
+            self.timeouts.pop_front();
+            self.fail(now, id, actions);
+        }
+    }
+
+    fn send_due(&mut self, now: MonotonicTime, actions: &mut Vec<AskerAction>) {
+        let due: Vec<HomeKey> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| !queue.waiters.is_empty())
+            .filter(|(_, queue)| queue.is_local || queue.next_ask <= now)
+            .map(|(home, _)| *home)
+            .collect();
+        for home in due {
+            self.send(now, home, actions);
+        }
+        self.queues
+            .retain(|_, queue| !queue.waiters.is_empty() || queue.next_ask > now);
+    }
+
+    fn send(&mut self, now: MonotonicTime, home: HomeKey, actions: &mut Vec<AskerAction>) {
+        let Some(queue) = self.queues.get_mut(&home) else {
+            return;
+        };
+        queue.next_ask = now + self.settings.batch;
+        let mut grouped: BTreeMap<(&str, bool), Vec<WaiterKey>> = BTreeMap::new();
+        for (key, is_last) in queue.waiters.drain(..) {
+            if let Some(waiter) = self.waiters.get(key) {
+                let name = waiter.request.name.as_str();
+                grouped.entry((name, is_last)).or_default().push(key);
+            }
+        }
+        let entries: Vec<(AskEntry, Vec<WaiterKey>)> = grouped
+            .into_iter()
+            .map(|((name, is_last), keys)| {
+                let entry = AskEntry {
+                    name: name.to_owned(),
+                    tokens: u32::try_from(keys.len()).unwrap_or(u32::MAX),
+                    is_last,
+                };
+                (entry, keys)
+            })
+            .collect();
+        if entries.is_empty() {
+            return;
+        }
+        let asked = entries.iter().map(|(entry, _)| entry.clone()).collect();
+        let id = self.asks.insert(OpenAsk {
+            home,
+            asked: now,
+            entries,
+        });
+        self.timeouts
+            .push_back((now + self.settings.ask_timeout, id));
+        actions.push(AskerAction::Ask(TokenAsk {
+            id,
+            home,
+            entries: asked,
+        }));
+    }
+
+    /// Forgets what has run out.
+    fn forget_old(&mut self, now: MonotonicTime) {
+        self.dry.retain(|_, until| now < *until);
+        self.resting.retain(|_, until| now < *until);
+    }
+}
+
+impl Machine for TokenAsker {
+    type Event = AskerEvent;
+    type Action = AskerAction;
+
+    fn apply(&mut self, now: MonotonicTime, event: AskerEvent, actions: &mut Vec<AskerAction>) {
+        match event {
+            AskerEvent::Arrived(request) => self.arrive(now, request, actions),
+            AskerEvent::Answered(id, grants) => self.settle(now, id, &grants, actions),
+            AskerEvent::Failed(id) => self.fail(now, id, actions),
+            AskerEvent::Tick => self.forget_old(now),
+        }
+        self.expire(now, actions);
+        self.send_due(now, actions);
+    }
+
+    fn next_wake(&self) -> Option<MonotonicTime> {
+        let queued = self
+            .queues
+            .values()
+            .filter(|queue| !queue.waiters.is_empty())
+            .map(|queue| queue.next_ask);
+        let timeout = self.timeouts.front().map(|(due, _)| *due);
+        queued.chain(timeout).min()
+    }
+}
--- /dev/null
+++ b/crates/mangostep-policy/tests/limits_fleet.rs
@@ -0,0 +1,514 @@
+//! Any interleaving of asks, losses, doublings, late answers, takeovers,
+//! hand-overs and changes of a limit keeps every window within rate and burst.
+
+use std::{collections::HashMap, time::Duration};
+
+use {
+    bolero::{
+        TypeGenerator,
+        generator::bolero_generator::driver::{ByteSliceDriver, Options},
+    },
+    mangostep_policy::{
+        AskEntry, AskId, AskerAction, AskerEvent, AskerSettings, FleetLimit, HandOverState,
+        HomeKey, HomeRoute, LimitHome, Machine, MonotonicTime, TokenAsk, TokenAsker, TokenFraction,
+        TokenGrant, WaiterId, WaitingRequest,
+    },
+    rand::{Rng, SeedableRng, rngs::StdRng},
+};
+
+const NAME: &str = "w:repairs";
+const SEEDS: u64 = 1500;
+const OPS_MAX: usize = 400;
+const ASKERS: usize = 2;
+const TOKEN_UNITS: u128 = 1_000_000_000_000;
+/// Time within which every host has a publication in force.
+const IN_FORCE: Duration = Duration::from_secs(9);
+
+#[derive(Clone, Debug, TypeGenerator)]
+enum Op {
+    Advance(u16),
+    AdvanceLong(u16),
+    Arrive { asker: u8, count: u8 },
+    Deliver(u8),
+    Deliver1(u8),
+    DeliverAll,
+    Lose(u8),
+    Double(u8),
+    TakeOver(u8),
+    HandOver(u8),
+    Publish(u8),
+    ApplyChange(u8),
+    DropFull(u8),
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Ask {
+        asker: usize,
+        ask: TokenAsk,
+        entry: usize,
+    },
+    Answer {
+        asker: usize,
+        id: AskId,
+        grant: TokenGrant,
+    },
+    Gather {
+        at: usize,
+        of: usize,
+        gather: u64,
+    },
+    Fraction {
+        to: usize,
+        of: usize,
+        gather: u64,
+        fraction: TokenFraction,
+    },
+    State {
+        to: usize,
+        epoch: u64,
+        state: HandOverState,
+    },
+}
+
+/// A gather that waits for the other homes.
+struct OpenGather {
+    asker: usize,
+    id: AskId,
+    tokens: u32,
+    asked: MonotonicTime,
+    missing: Vec<usize>,
+    fractions: Vec<TokenFraction>,
+    epoch: u64,
+}
+
+struct Seat {
+    home: LimitHome,
+    epoch: u64,
+    limit: FleetLimit,
+}
+
+struct Fleet {
+    now: MonotonicTime,
+    limits: Vec<FleetLimit>,
+    latest: FleetLimit,
+    before: FleetLimit,
+    published: MonotonicTime,
+    seats: Vec<Seat>,
+    askers: Vec<TokenAsker>,
+    messages: Vec<Message>,
+    gathers: HashMap<u64, OpenGather>,
+    next_id: u64,
+    /// Times at which whole tokens were taken, one entry a token.
+    taken: Vec<MonotonicTime>,
+    admitted: Vec<WaiterId>,
+}
+
+impl Fleet {
+    fn open(limits: &[FleetLimit]) -> Self {
+        let now = MonotonicTime::from_micros(1_000_000);
+        let seats = (0..3)
+            .map(|index| Seat {
+                home: LimitHome::open(index, now),
+                epoch: 1,
+                limit: limits[0],
+            })
+            .collect();
+        Fleet {
+            now,
+            limits: limits.to_vec(),
+            latest: limits[0],
+            before: limits[0],
+            published: now,
+            seats,
+            askers: (0..ASKERS)
+                .map(|_| TokenAsker::new(AskerSettings::default()))
+                .collect(),
+            messages: Vec::new(),
+            gathers: HashMap::new(),
+            next_id: 0,
+            taken: Vec::new(),
+            admitted: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, op: &Op) {
+        match *op {
+            Op::Advance(micros) => self.advance(Duration::from_micros(u64::from(micros))),
+            Op::AdvanceLong(tens) => self.advance(Duration::from_micros(u64::from(tens) * 50)),
+            Op::Arrive { asker, count } => {
+                for _ in 0..1 + count % 8 {
+                    self.arrive(usize::from(asker) % ASKERS);
+                }
+            }
+            Op::Deliver(place) | Op::Deliver1(place) => self.deliver(usize::from(place)),
+            Op::DeliverAll => {
+                for _ in 0..64 {
+                    self.deliver(0);
+                }
+            }
+            Op::Lose(place) => {
+                self.take_message(usize::from(place));
+            }
+            Op::Double(place) => {
+                if !self.messages.is_empty() {
+                    let message = self.messages[usize::from(place) % self.messages.len()].clone();
+                    self.messages.push(message);
+                }
+            }
+            Op::TakeOver(index) => self.take_over(usize::from(index) % 3),
+            Op::HandOver(index) => self.hand_over(usize::from(index) % 3),
+            Op::Publish(choice) => self.publish(usize::from(choice)),
+            Op::ApplyChange(index) => self.apply_change(usize::from(index) % 3),
+            Op::DropFull(index) => {
+                let seat = &mut self.seats[usize::from(index) % 3];
+                let limit = seat.limit;
+                seat.home.drop_full(self.now, |_| Some(limit));
+            }
+        }
+    }
+
+    fn advance(&mut self, span: Duration) {
+        self.now = self.now + span;
+        if self.now.since(self.published) >= IN_FORCE {
+            for index in 0..3 {
+                self.apply_change(index);
+            }
+        }
+        for asker in 0..ASKERS {
+            self.apply(asker, AskerEvent::Tick);
+        }
+    }
+
+    fn arrive(&mut self, asker: usize) {
+        self.next_id += 1;
+        let request = WaitingRequest {
+            id: WaiterId(self.next_id),
+            name: NAME.to_owned(),
+            deadline: self.now + Duration::from_secs(1),
+            homes: self
+                .latest
+                .homes(NAME)
+                .map(|home| HomeRoute {
+                    home,
+                    is_local: false,
+                })
+                .collect(),
+        };
+        self.apply(asker, AskerEvent::Arrived(request));
+    }
+
+    fn apply(&mut self, asker: usize, event: AskerEvent) {
+        let mut actions = Vec::new();
+        self.askers[asker].apply(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                AskerAction::Ask(ask) => {
+                    let message = Message::Ask {
+                        asker,
+                        ask,
+                        entry: 0,
+                    };
+                    self.messages.push(message);
+                }
+                AskerAction::Admit(id) => self.admitted.push(id),
+                AskerAction::Refuse(..) => {}
+            }
+        }
+    }
+
+    fn take_message(&mut self, place: usize) -> Option<Message> {
+        if self.messages.is_empty() {
+            return None;
+        }
+        let place = place % self.messages.len();
+        Some(self.messages.remove(place))
+    }
+
+    fn deliver(&mut self, place: usize) {
+        match self.take_message(place) {
+            None => {}
+            Some(Message::Ask { asker, ask, entry }) => self.serve(asker, &ask, entry),
+            Some(Message::Answer { asker, id, grant }) => {
+                self.apply(asker, AskerEvent::Answered(id, vec![grant]));
+            }
+            Some(Message::Gather { at, of, gather }) => {
+                let seat = &mut self.seats[of];
+                let fraction = seat.home.take_fraction(self.now, NAME, seat.limit);
+                let to = at;
+                self.messages.push(Message::Fraction {
+                    to,
+                    of,
+                    gather,
+                    fraction,
+                });
+            }
+            Some(Message::Fraction {
+                to,
+                of,
+                gather,
+                fraction,
+            }) => self.take_fraction(to, of, gather, fraction),
+            Some(Message::State { to, epoch, state }) => {
+                let seat = &mut self.seats[to];
+                if seat.epoch == epoch + 1 {
+                    let limit = seat.limit;
+                    seat.home.accept(self.now, &state, |_| Some(limit));
+                }
+            }
+        }
+    }
+
+    fn serve(&mut self, asker: usize, ask: &TokenAsk, entry: usize) {
+        let AskEntry {
+            tokens, is_last, ..
+        } = ask.entries[entry];
+        let index = usize::from(ask.home.index);
+        let seat = &mut self.seats[index];
+        let grant = seat.home.take(self.now, NAME, seat.limit, tokens);
+        self.note_taken(grant.granted);
+        if grant.granted > 0 || !is_last {
+            let id = ask.id;
+            self.messages.push(Message::Answer { asker, id, grant });
+            return;
+        }
+        self.next_id += 1;
+        let gather = self.next_id;
+        let missing: Vec<usize> = (0..3).filter(|other| *other != index).collect();
+        for of in missing.iter().copied() {
+            let at = index;
+            self.messages.push(Message::Gather { at, of, gather });
+        }
+        let open = OpenGather {
+            asker,
+            id: ask.id,
+            tokens,
+            asked: self.now,
+            missing,
+            fractions: Vec::new(),
+            epoch: self.seats[index].epoch,
+        };
+        self.gathers.insert(gather, open);
+    }
+
+    fn take_fraction(&mut self, to: usize, of: usize, gather: u64, fraction: TokenFraction) {
+        let Some(open) = self.gathers.get_mut(&gather) else {
+            return;
+        };
+        let Some(place) = open.missing.iter().position(|other| *other == of) else {
+            return;
+        };
+        open.missing.remove(place);
+        open.fractions.push(fraction);
+        if !open.missing.is_empty() {
+            return;
+        }
+        let Some(open) = self.gathers.remove(&gather) else {
+            return;
+        };
+        let seat = &mut self.seats[to];
+        if seat.epoch != open.epoch {
+            return;
+        }
+        let grant = seat.home.take_with(
+            self.now,
+            NAME,
+            seat.limit,
+            open.tokens,
+            &open.fractions,
+            open.asked,
+        );
+        self.note_taken(grant.granted);
+        self.messages.push(Message::Answer {
+            asker: open.asker,
+            id: open.id,
+            grant,
+        });
+    }
+
+    fn note_taken(&mut self, granted: u32) {
+        for _ in 0..granted {
+            self.taken.push(self.now);
+        }
+    }
+
+    fn take_over(&mut self, index: usize) {
+        let seat = &mut self.seats[index];
+        seat.epoch += 1;
+        seat.limit = self.latest;
+        seat.home = LimitHome::open(u8::try_from(index).unwrap(), self.now);
+        self.replay_change(index);
+    }
+
+    /// A host that opens a home tells it what has changed of late.
+    fn replay_change(&mut self, index: usize) {
+        if self.now.since(self.published) > 2 * IN_FORCE {
+            return;
+        }
+        let seat = &mut self.seats[index];
+        if seat.limit == self.latest {
+            let (old, new) = (Some(self.before), Some(self.latest));
+            seat.home.change_limit(self.now, NAME, old, new);
+        }
+    }
+
+    fn hand_over(&mut self, index: usize) {
+        let seat = &mut self.seats[index];
+        let limit = seat.limit;
+        let epoch = seat.epoch;
+        let state = seat.home.seal(self.now, |_| Some(limit));
+        seat.epoch += 1;
+        seat.home = LimitHome::open(u8::try_from(index).unwrap(), self.now);
+        self.messages.push(Message::State {
+            to: index,
+            epoch,
+            state,
+        });
+        self.replay_change(index);
+    }
+
+    fn publish(&mut self, choice: usize) {
+        // The next publication waits until this one is in force.
+        if (0..3).any(|index| self.seats[index].limit != self.latest) {
+            return;
+        }
+        self.before = self.latest;
+        self.latest = self.limits[choice % self.limits.len()];
+        self.published = self.now;
+    }
+
+    fn apply_change(&mut self, index: usize) {
+        let seat = &mut self.seats[index];
+        if seat.limit != self.latest {
+            let (old, new) = (Some(seat.limit), Some(self.latest));
+            seat.home.change_limit(self.now, NAME, old, new);
+            seat.limit = self.latest;
+        }
+    }
+
+    /// Checks every window that begins and ends with a token.
+    fn check_windows(&self) {
+        let rate = self.limits.iter().map(|limit| limit.rate_micro_per_s).max();
+        let burst = self.limits.iter().map(|limit| limit.burst_micro).max();
+        let rate = u128::from(rate.unwrap());
+        let burst = u128::from(burst.unwrap()) * 1_000_000;
+        for (first, start) in self.taken.iter().enumerate() {
+            for (last, end) in self.taken.iter().enumerate().skip(first) {
+                let count = (last - first + 1) as u128;
+                let window = end.since(*start).as_micros();
+                assert!(
+                    count * TOKEN_UNITS <= rate * window + burst,
+                    "{count} tokens in {window} us"
+                );
+            }
+        }
+        assert!(self.admitted.len() <= self.taken.len());
+        let mut ids: Vec<u64> = self.admitted.iter().map(|id| id.0).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), self.admitted.len(), "a request ran twice");
+    }
+}
+
+fn limit(rate_micro_per_s: u64, burst_micro: u64) -> FleetLimit {
+    FleetLimit {
+        rate_micro_per_s,
+        burst_micro,
+    }
+}
+
+/// Runs the same sequences every time; a failure prints its seed.
+fn for_each_seed(run: impl Fn(&[Op])) {
+    for seed in 0..SEEDS {
+        let mut bytes = vec![0; 4096];
+        StdRng::seed_from_u64(seed).fill_bytes(&mut bytes);
+        let mut driver = ByteSliceDriver::new(&bytes[..], &Options::default());
+        let ops: Vec<Op> = std::iter::from_fn(|| Op::generate(&mut driver))
+            .take(OPS_MAX)
+            .collect();
+        let printer = SeedPrinter(seed);
+        run(&ops);
+        std::mem::forget(printer);
+    }
+}
+
+/// Prints the seed when the run panics.
+struct SeedPrinter(u64);
+
+impl Drop for SeedPrinter {
+    fn drop(&mut self) {
+        eprintln!("seed {}", self.0);
+    }
+}
+
+fn run_all(limits: &[FleetLimit], ops: &[Op]) {
+    let mut fleet = Fleet::open(limits);
+    // Without this the first tokens of slow limits never come.
+    fleet.advance(Duration::from_secs(2));
+    for op in ops {
+        fleet.run(op);
+    }
+    fleet.check_windows();
+}
+
+#[test]
+fn every_window_holds_with_a_small_burst() {
+    for_each_seed(|ops| run_all(&[limit(100_000_000, 3_000_000)], ops));
+}
+
+#[test]
+fn every_window_holds_with_a_larger_burst() {
+    for_each_seed(|ops| run_all(&[limit(20_000_000, 10_700_000)], ops));
+}
+
+#[test]
+fn every_window_holds_while_the_limit_changes() {
+    let limits = [
+        limit(40_000_000, 6_000_000),
+        limit(10_000_000, 3_300_000),
+        limit(60_000_000, 9_000_000),
+    ];
+    for_each_seed(|ops| run_all(&limits, ops));
+}
+
+#[test]
+fn every_window_holds_while_the_number_of_homes_changes() {
+    let limits = [
+        limit(30_000_000, 3_000_000),
+        limit(30_000_000, 1_500_000),
+        limit(30_000_000, 2_900_000),
+    ];
+    for_each_seed(|ops| run_all(&limits, ops));
+}
+
+#[test]
+fn homes_that_answer_late_admit_nothing() {
+    let mut fleet = Fleet::open(&[limit(10_000_000, 3_000_000)]);
+    fleet.advance(Duration::from_secs(2));
+    fleet.arrive(0);
+    fleet.deliver(0);
+    assert_eq!(fleet.taken.len(), 1);
+    fleet.advance(Duration::from_millis(251));
+    fleet
+        .messages
+        .retain(|message| matches!(message, Message::Answer { .. }));
+    fleet.deliver(0);
+    assert!(fleet.admitted.is_empty());
+}
+
+#[test]
+fn fractions_of_dry_homes_make_one_token() {
+    let limit = limit(1_000_000, 3_000_000);
+    let mut fleet = Fleet::open(&[limit]);
+    // Nine tenths at each home.
+    fleet.advance(Duration::from_millis(2700));
+    for _ in 0..4 {
+        fleet.arrive(0);
+        fleet.run(&Op::DeliverAll);
+        fleet.advance(Duration::from_millis(1));
+        fleet.run(&Op::DeliverAll);
+    }
+    assert_eq!(fleet.admitted.len(), 2, "2.7 tokens are there");
+    let homes: Vec<HomeKey> = limit.homes(NAME).collect();
+    assert_eq!(homes.len(), 3);
+}
