--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -12,6 +12,8 @@
 //! * [`SlotKeeper`] grants the slots of one cell, [`EjectionFloor`] bounds its
 //!   ejections, and [`CellChooser`] picks the cell for a request.
 //! * [`ServerDetector`] is what a slot keeper asks about its backend servers.
+//! * [`LimitHome`] counts a share of the limits that hold fleet-wide, and
+//!   [`TokenAsker`] finds tokens for the requests that wait on a host.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
 //! # Example
@@ -26,6 +28,7 @@
 //! ```
 
 mod lease;
+mod limits;
 mod machine;
 mod rendezvous;
 mod slots;
@@ -36,6 +39,11 @@
         Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
         MemberPlanner, MemberSet, Renewal, SHARDS, Standing, TakerWatch, cell_name, shard_name,
     },
+    limits::{
+        AskEntry, AskId, AskRefusal, AskerAction, AskerEvent, AskerSettings, BucketState,
+        FleetLimit, HandOverState, HomeKey, HomeRoute, LimitHome, LimitShare, TokenAsk, TokenAsker,
+        TokenFraction, TokenGrant, WaiterId, WaitingRequest, shard_of,
+    },
     machine::Machine,
     rendezvous::rendezvous_order,
     slots::{
