Define the detector's interface to the slot keeper

Cause: the slot keeper and the detector are written side by side. Change: the ServerDetector trait, outcome samples and verdicts.

--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! * [`Machine`] is the trait that every policy type implements.
 //! * [`HostLease`], [`TakerWatch`] and [`MemberSet`] are the host lease.
+//! * [`ServerDetector`] is what a slot keeper asks about its backend servers.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
 //! # Example
@@ -25,6 +26,7 @@
 mod lease;
 mod machine;
 mod rendezvous;
+mod slots;
 mod time;
 
 pub use crate::{
@@ -34,5 +36,6 @@
     },
     machine::Machine,
     rendezvous::rendezvous_order,
+    slots::{OutcomeKind, OutcomeSample, ServerAction, ServerDetector, ServerVerdict},
     time::MonotonicTime,
 };
--- /dev/null
+++ b/crates/mangostep-policy/src/slots/mod.rs
@@ -0,0 +1,7 @@
+//! Decisions about the slots of backend servers.
+
+mod verdict;
+
+pub use crate::slots::verdict::{
+    OutcomeKind, OutcomeSample, ServerAction, ServerDetector, ServerVerdict,
+};
