Find backend servers that fail grayly from pooled outcomes

Cause: nothing told a server that fails from one that only looks so. Change: GrayDetector scores each request against what the cell's others show, one sum for failures and one for latency; several sources must agree; when more than half of a cell looks bad nobody is ejected; holds double; return by trial. ConsecutiveErrorDetector to compare with. A drawn workload in standins.

--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -10,6 +10,8 @@
 //! * [`Machine`] is the trait that every policy type implements.
 //! * [`HostLease`], [`TakerWatch`] and [`MemberSet`] are the host lease.
 //! * [`ServerDetector`] is what a slot keeper asks about its backend servers.
+//! * [`GrayDetector`] finds backend servers that fail grayly;
+//!   [`ConsecutiveErrorDetector`] is the usual way, to compare with.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
 //! # Example
@@ -23,6 +25,7 @@
 //! assert_eq!(later.since(start), Duration::from_secs(2));
 //! ```
 
+mod detection;
 mod lease;
 mod machine;
 mod rendezvous;
@@ -30,6 +33,7 @@
 mod time;
 
 pub use crate::{
+    detection::{BaselineSettings, ConsecutiveErrorDetector, DetectionSettings, GrayDetector},
     lease::{
         Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
         MemberPlanner, MemberSet, Renewal, SHARDS, Standing, TakerWatch, cell_name, shard_name,
--- a/crates/mangostep-policy/src/time.rs
+++ b/crates/mangostep-policy/src/time.rs
@@ -19,6 +19,9 @@
     /// The earliest reading.
     pub const ZERO: MonotonicTime = MonotonicTime(0);
 
+    /// The latest reading.
+    pub const MAX: MonotonicTime = MonotonicTime(u64::MAX);
+
     /// Makes a reading from microseconds.
     pub const fn from_micros(micros: u64) -> Self {
         MonotonicTime(micros)
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`fleet`]: [`fleet::TestFleet`] starts all of these and real entry hosts.
 //! * [`load`]: callers that send at a steady rate.
 //! * [`experiments`]: measurements against stated bounds.
+//! * [`workload`]: drawn outcomes of a cell's requests, without processes.
 
 mod error;
 mod http;
@@ -23,5 +24,6 @@
 pub mod load;
 pub mod platform;
 pub mod proxy;
+pub mod workload;
 
 pub use crate::{error::StandinError, http::CutPlace, usage::ProcessUsage};
