--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -14,6 +14,8 @@
 //! * [`ServerDetector`] is what a slot keeper asks about its backend servers.
 //! * [`LimitHome`] counts a share of the limits that hold fleet-wide, and
 //!   [`TokenAsker`] finds tokens for the requests that wait on a host.
+//! * [`GrayDetector`] finds backend servers that fail grayly;
+//!   [`ConsecutiveErrorDetector`] is the usual way, to compare with.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
 //! # Example
@@ -27,6 +29,7 @@
 //! assert_eq!(later.since(start), Duration::from_secs(2));
 //! ```
 
+mod detection;
 mod lease;
 mod limits;
 mod machine;
@@ -35,6 +38,7 @@
 mod time;
 
 pub use crate::{
+    detection::{BaselineSettings, ConsecutiveErrorDetector, DetectionSettings, GrayDetector},
     lease::{
         Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
         MemberPlanner, MemberSet, Renewal, SHARDS, Standing, TakerWatch, cell_name, shard_name,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`generate`]: object sets of any size.
 //! * [`load`]: callers that send at a steady rate.
 //! * [`experiments`]: measurements against stated bounds.
+//! * [`workload`]: drawn outcomes of a cell's requests, without processes.
 
 mod error;
 mod http;
@@ -25,5 +26,6 @@
 pub mod load;
 pub mod platform;
 pub mod proxy;
+pub mod workload;
 
 pub use crate::{error::StandinError, http::CutPlace, usage::ProcessUsage};
