Judge backend servers by pooled outcomes in every cell

Cause: keepers ran with a detector that judges nothing, until the real one landed. Ruled out: both behind a setting, which would leave a fleet blind by default. Change: cells use the gray-failure detector. Conclusion: ejections are now asked for.

--- a/crates/mangostep-daemon/src/slots/mod.rs
+++ b/crates/mangostep-daemon/src/slots/mod.rs
@@ -39,7 +39,7 @@
 };
 
 /// Judges the servers of every cell.
-type CellDetector = mangostep_policy::QuietDetector;
+type CellDetector = mangostep_policy::GrayDetector;
 
 /// The peer thread's part in slots.
 pub(crate) struct SlotDuty {
