--- a/crates/mangostep-daemon/src/front/forward.rs
+++ b/crates/mangostep-daemon/src/front/forward.rs
@@ -189,6 +189,8 @@
         if let Some(running) = pump.as_mut() {
             running.await;
         }
+        // A body that was moved whole must not be polled again.
+        *pump = None;
         std::future::pending::<()>().await;
     };
     tokio::select! {
