Pace loads by a thread of their own and count proxied bytes

Cause: the runtime's timers are a millisecond coarse, which added to every latency (direct p50 2.5 ms at load 16); capacity needs bytes a second by host. Change: a pacing thread; GET /control/bytes of the fault proxy.

--- a/crates/standins/src/fleet/handles.rs
+++ b/crates/standins/src/fleet/handles.rs
@@ -14,7 +14,7 @@
         process::{FleetProcess, ProcessPlan},
     },
     platform::{DirectoryChange, PlatformControl, PlatformCounts, PlatformFault},
-    proxy::{ProxyAddresses, ProxyCommand, ProxyControl},
+    proxy::{ProxyAddresses, ProxyCommand, ProxyControl, ProxyCounts},
 };
 
 /// The line that `standin platform` and `standin backend` print.
@@ -217,6 +217,15 @@
         self.addresses.address
     }
 
+    /// Bytes that it forwarded, by source.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub async fn counts(&self) -> Result<ProxyCounts, StandinError> {
+        self.control.get("/control/bytes").await
+    }
+
     /// Runs commands, in their order as one step.
     ///
     /// # Errors
@@ -248,9 +257,20 @@
     pub(crate) zone: String,
     pub(crate) addresses: HostAddresses,
     pub(crate) proxy: Option<ProxyHandle>,
+    pub(crate) http: reqwest::Client,
 }
 
 impl HostHandle {
+    /// What it tells operators at `/status`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its listener for operators does not answer.
+    pub async fn status(&self) -> Result<serde_json::Value, StandinError> {
+        let control = ControlClient::new(&self.http, self.addresses.operator);
+        control.get("/status").await
+    }
+
     /// Its name.
     pub fn name(&self) -> &str {
         &self.name
--- a/crates/standins/src/fleet/start.rs
+++ b/crates/standins/src/fleet/start.rs
@@ -251,6 +251,7 @@
             zone: zone.to_owned(),
             addresses,
             proxy,
+            http: self.http.clone(),
         });
         Ok(())
     }
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -11,12 +11,12 @@
 use std::{
     net::{IpAddr, SocketAddr},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use {
     rand::{RngExt, SeedableRng, rngs::SmallRng},
-    tokio::{sync::mpsc, time::Instant},
+    tokio::sync::mpsc,
 };
 
 use crate::{
@@ -115,33 +115,19 @@
         let message = "a load needs requests, entries and callers";
         return Err(StandinError::new("start load", "load caller", message));
     }
-    let mut random = SmallRng::seed_from_u64(settings.seed);
     let settings = Arc::new(settings);
     let senders = (0..settings.callers)
         .map(|number| RequestSender::open(settings.clone(), number).map(Arc::new))
         .collect::<Result<Vec<_>, _>>()?;
     let (reports, mut ended) = mpsc::unbounded_channel();
-    let start = Instant::now();
-    let start_us = wall_us();
-    let mut due = Duration::ZERO;
-    let mut sent = 0;
-    while due < settings.duration {
-        tokio::time::sleep_until(start + due).await;
-        let request = DueRequest {
-            number: sent,
-            kind: draw_kind(&settings.requests, &mut random),
-            due: start + due,
-            due_us: start_us + due.as_micros() as u64,
-        };
-        let sender = senders[sent % senders.len()].clone();
+    let mut due_requests = spawn_pacer(settings.clone());
+    while let Some(request) = due_requests.recv().await {
+        let sender = senders[request.number % senders.len()].clone();
         let reports = reports.clone();
         tokio::spawn(async move {
             // The receiver lives until all requests ended.
             let _ = reports.send(sender.send(request).await);
         });
-        sent += 1;
-        let gap = -(1.0 - random.random::<f64>()).ln() / settings.rate_per_s;
-        due += Duration::from_secs_f64(gap);
     }
     drop(reports);
     let mut report = LoadReport::new(&settings.requests);
@@ -151,6 +137,39 @@
     Ok(report)
 }
 
+/// Starts a thread that tells each request when it is due.
+///
+/// It is a thread of its own, since the runtime's timers are a millisecond
+/// coarse.
+fn spawn_pacer(settings: Arc<LoadSettings>) -> mpsc::UnboundedReceiver<DueRequest> {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        let mut random = SmallRng::seed_from_u64(settings.seed);
+        let start = Instant::now();
+        let start_us = wall_us();
+        let mut due = Duration::ZERO;
+        for number in 0.. {
+            if due >= settings.duration {
+                break;
+            }
+            std::thread::sleep((start + due).saturating_duration_since(Instant::now()));
+            let request = DueRequest {
+                number,
+                kind: draw_kind(&settings.requests, &mut random),
+                due: start + due,
+                due_us: start_us + due.as_micros() as u64,
+            };
+            // The load was given up when nobody listens.
+            if sender.send(request).is_err() {
+                break;
+            }
+            let gap = -(1.0 - random.random::<f64>()).ln() / settings.rate_per_s;
+            due += Duration::from_secs_f64(gap);
+        }
+    });
+    receiver
+}
+
 fn draw_kind(requests: &[LoadRequest], random: &mut SmallRng) -> usize {
     let sum: f64 = requests.iter().map(|request| request.weight).sum();
     let mut at = random.random::<f64>() * sum;
--- a/crates/standins/src/load/sender.rs
+++ b/crates/standins/src/load/sender.rs
@@ -1,9 +1,6 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
-use {
-    reqwest::{Client, Response},
-    tokio::time::Instant,
-};
+use reqwest::{Client, Response};
 
 use crate::{
     StandinError,
--- a/crates/standins/src/proxy/control.rs
+++ b/crates/standins/src/proxy/control.rs
@@ -1,4 +1,7 @@
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -126,3 +129,21 @@
     /// For control.
     pub control: SocketAddr,
 }
+
+/// Bytes that a fault proxy forwarded for one source.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkBytes {
+    /// From the source to the target.
+    pub to_target: u64,
+    /// From the target to the source.
+    pub to_source: u64,
+    /// Connections that the source opened.
+    pub connections: u64,
+}
+
+/// The answer to `GET /control/bytes` of a fault proxy.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProxyCounts {
+    /// Bytes by the source's IP number, since the proxy's start.
+    pub sources: BTreeMap<IpAddr, LinkBytes>,
+}
--- a/crates/standins/src/proxy/mod.rs
+++ b/crates/standins/src/proxy/mod.rs
@@ -4,8 +4,9 @@
 mod relay;
 
 use std::{
+    collections::HashMap,
     net::{IpAddr, SocketAddr},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -15,12 +16,13 @@
 };
 
 use crate::{
-    http::{HttpAnswer, HttpStream},
-    proxy::relay::{ProxyLink, relay},
+    http::{HttpAnswer, HttpStream, RequestBody, RequestHead},
+    proxy::relay::{LinkCounter, ProxyLink, relay},
 };
 
 pub use crate::proxy::control::{
-    ConnectMode, LinkFlow, LinkRule, ProxyAddresses, ProxyCommand, ProxyControl,
+    ConnectMode, LinkBytes, LinkFlow, LinkRule, ProxyAddresses, ProxyCommand, ProxyControl,
+    ProxyCounts,
 };
 
 /// A fault proxy in front of one target.
@@ -38,6 +40,7 @@
     rules: Vec<(IpAddr, LinkRule)>,
     rule: LinkRule,
     links: Vec<ProxyLink>,
+    counters: HashMap<IpAddr, Arc<LinkCounter>>,
 }
 
 impl FaultProxy {
@@ -59,6 +62,7 @@
                 rules: Vec::new(),
                 rule: LinkRule::default(),
                 links: Vec::new(),
+                counters: HashMap::new(),
             })),
         })
     }
@@ -109,10 +113,25 @@
         source,
         rule: sender,
     });
-    tokio::spawn(relay(stream, target, receiver));
+    let counter = state.counters.entry(source).or_default().clone();
+    tokio::spawn(relay(stream, target, receiver, counter));
 }
 
 impl ProxyState {
+    fn counts(&self) -> ProxyCounts {
+        let read = |counter: &LinkCounter| LinkBytes {
+            to_target: counter.to_target.load(Ordering::Relaxed),
+            to_source: counter.to_source.load(Ordering::Relaxed),
+            connections: counter.connections.load(Ordering::Relaxed),
+        };
+        let sources = self.counters.iter();
+        ProxyCounts {
+            sources: sources
+                .map(|(source, counter)| (*source, read(counter)))
+                .collect(),
+        }
+    }
+
     fn rule_of(&self, source: IpAddr) -> LinkRule {
         self.rules
             .iter()
@@ -180,22 +199,29 @@
         let Ok(body) = stream.read_body(&head, 1 << 20).await else {
             return;
         };
-        let answer = match body.json::<ProxyControl>() {
-            Ok(control) => {
-                let mut state = lock(&state);
-                for command in control.commands {
-                    state.run(command);
-                }
-                HttpAnswer::new(204, "")
-            }
-            Err(message) => HttpAnswer::new(400, message),
-        };
+        let answer = answer_control(&state, &head, &body);
         if stream.write_answer(&answer).await.is_err() {
             return;
         }
     }
 }
 
+fn answer_control(state: &Mutex<ProxyState>, head: &RequestHead, body: &RequestBody) -> HttpAnswer {
+    if (head.method.as_str(), head.path()) == ("GET", "/control/bytes") {
+        return HttpAnswer::json(&lock(state).counts());
+    }
+    match body.json::<ProxyControl>() {
+        Ok(control) => {
+            let mut state = lock(state);
+            for command in control.commands {
+                state.run(command);
+            }
+            HttpAnswer::new(204, "")
+        }
+        Err(message) => HttpAnswer::new(400, message),
+    }
+}
+
 fn lock(state: &Mutex<ProxyState>) -> MutexGuard<'_, ProxyState> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/standins/src/proxy/relay.rs
+++ b/crates/standins/src/proxy/relay.rs
@@ -1,6 +1,10 @@
 use std::{
     io,
     net::{IpAddr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -28,6 +32,14 @@
     pub(crate) rule: watch::Sender<LinkRule>,
 }
 
+/// Counts the bytes of one source, over all its connections.
+#[derive(Debug, Default)]
+pub(crate) struct LinkCounter {
+    pub(crate) to_target: AtomicU64,
+    pub(crate) to_source: AtomicU64,
+    pub(crate) connections: AtomicU64,
+}
+
 /// Forwards one connection until both directions ended.
 ///
 /// Without a target the connection stays open and silent.
@@ -35,7 +47,9 @@
     stream: TcpStream,
     target: Option<SocketAddr>,
     rule: watch::Receiver<LinkRule>,
+    counter: Arc<LinkCounter>,
 ) {
+    counter.connections.fetch_add(1, Ordering::Relaxed);
     let _ = stream.set_nodelay(true);
     let Some(target) = target else {
         return hang(stream, rule).await;
@@ -47,10 +61,20 @@
     let _ = other.set_nodelay(true);
     let (source_reader, source_writer) = stream.into_split();
     let (target_reader, target_writer) = other.into_split();
-    let there = pump(source_reader, target_writer, rule.clone(), |rule| {
-        rule.to_target
-    });
-    let back = pump(target_reader, source_writer, rule, |rule| rule.to_source);
+    let there = pump(
+        source_reader,
+        target_writer,
+        rule.clone(),
+        &counter.to_target,
+        |rule| rule.to_target,
+    );
+    let back = pump(
+        target_reader,
+        source_writer,
+        rule,
+        &counter.to_source,
+        |rule| rule.to_source,
+    );
     // One direction may end long before the other.
     let _ = tokio::join!(there, back);
 }
@@ -77,10 +101,11 @@
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
     rule: watch::Receiver<LinkRule>,
+    bytes: &AtomicU64,
     flow_of: impl Fn(&LinkRule) -> LinkFlow + Copy,
 ) {
     let (sender, receiver) = mpsc::channel(PIECES_MAX);
-    let writing = write_pieces(writer, receiver, rule.clone());
+    let writing = write_pieces(writer, receiver, rule.clone(), bytes);
     let mut reset = rule.clone();
     let reading = async move {
         tokio::select! {
@@ -124,11 +149,13 @@
     mut writer: OwnedWriteHalf,
     mut pieces: mpsc::Receiver<(Instant, Vec<u8>)>,
     mut rule: watch::Receiver<LinkRule>,
+    bytes: &AtomicU64,
 ) {
     let moving = async {
         while let Some((due, piece)) = pieces.recv().await {
             tokio::time::sleep_until(due).await;
             writer.write_all(&piece).await?;
+            bytes.fetch_add(piece.len() as u64, Ordering::Relaxed);
         }
         writer.shutdown().await
     };
