Add the experiment slopes

Cause: docs/CAPACITY.md must be worked out from measured slopes. Conclusion: each line is fitted by least squares and told at the target size.

--- a/crates/standins/src/bin/experiment.rs
+++ b/crates/standins/src/bin/experiment.rs
@@ -2,7 +2,10 @@
 
 use std::process::ExitCode;
 
-use standins::experiments::{EXPERIMENTS, Experiment, ExperimentSettings, Figures, TIME_LIMIT};
+use standins::{
+    CountingAllocator,
+    experiments::{EXPERIMENTS, Experiment, ExperimentSettings, Figures, TIME_LIMIT},
+};
 
 const USAGE: &str = "\
 experiment: measures a running fleet against stated bounds
@@ -15,6 +18,9 @@
 Experiments:
 ";
 
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
--- a/crates/standins/src/experiments/figures.rs
+++ b/crates/standins/src/experiments/figures.rs
@@ -77,6 +77,11 @@
         });
     }
 
+    /// Adds all figures of another list.
+    pub fn append(&mut self, other: Figures) {
+        self.figures.extend(other.figures);
+    }
+
     /// Whether all figures keep to their bounds.
     pub fn hold(&self) -> bool {
         self.figures.iter().all(Figure::holds)
--- a/crates/standins/src/experiments/mod.rs
+++ b/crates/standins/src/experiments/mod.rs
@@ -9,6 +9,7 @@
 mod leave;
 mod path_overhead;
 mod silent;
+mod slopes;
 
 use std::{future::Future, pin::Pin, time::Duration};
 
@@ -57,4 +58,9 @@
         about: "open connections to the backend servers go silent under load",
         run: |settings| Box::pin(silent::run(settings)),
     },
+    Experiment {
+        name: "slopes",
+        about: "state, messages and processor time by size, and at the target size",
+        run: |settings| Box::pin(slopes::run(settings)),
+    },
 ];
--- /dev/null
+++ b/crates/standins/src/experiments/slopes/hosts.rs
@@ -0,0 +1,227 @@
+use std::time::{Duration, Instant};
+
+use crate::{
+    StandinError,
+    experiments::{
+        Bound, ExperimentSettings, Figures,
+        slopes::{TARGET_HOSTS, line::SizeLine},
+    },
+    fleet::{FleetSettings, NORTH_KEY, ProxiedLinks, ServerGroup, TestFleet},
+    load::{LoadRequest, LoadSettings, run_load},
+    platform::ClientCounts,
+    usage::ProcessUsage,
+};
+
+const HOSTS_PER_ZONE: [usize; 3] = [1, 2, 4];
+const RATES: [f64; 3] = [60.0, 180.0, 420.0];
+const SETTLE: Duration = Duration::from_secs(8);
+const IDLE: Duration = Duration::from_secs(5);
+const LOADED: Duration = Duration::from_secs(5);
+
+/// What a daemon may spend for control.
+const CONTROL_CPU_PERCENT: f64 = 2.9;
+const CONTROL_BYTES_PER_S: f64 = 2_000.0;
+
+/// What the fleet may ask of the platform.
+const PLATFORM_WRITES_PER_S: f64 = 300.0;
+const PLATFORM_READS_PER_S: f64 = 1_500.0;
+
+/// Idle fleets of several sizes, and one of them under several loads.
+pub(crate) async fn measure(settings: ExperimentSettings) -> Result<Figures, StandinError> {
+    let [small, middle, large] = HOSTS_PER_ZONE;
+    let (small, middle, large) = tokio::try_join!(
+        measure_fleet(small, None),
+        measure_fleet(middle, Some(settings.seed)),
+        measure_fleet(large, None),
+    )?;
+    let mut figures = Figures::default();
+    tell_idle(&[&small.0, &middle.0, &large.0], &mut figures);
+    tell_load(&middle.1, &mut figures);
+    Ok(figures)
+}
+
+/// Counters of a fleet at one moment.
+#[derive(Clone, Copy, Debug)]
+struct FleetMeter {
+    at: Instant,
+    cpu: Duration,
+    resident_bytes: u64,
+    platform: ClientCounts,
+    platform_bytes: u64,
+    peer_bytes: u64,
+    peer_connections: u64,
+}
+
+impl FleetMeter {
+    async fn read(fleet: &TestFleet) -> Result<Self, StandinError> {
+        let mut meter = FleetMeter {
+            at: Instant::now(),
+            cpu: Duration::ZERO,
+            resident_bytes: 0,
+            platform: fleet.platform.counts().await?.total(),
+            platform_bytes: 0,
+            peer_bytes: 0,
+            peer_connections: 0,
+        };
+        for host in &fleet.hosts {
+            let usage = ProcessUsage::of(host.pid())?;
+            meter.cpu += usage.cpu;
+            meter.resident_bytes += usage.resident_bytes;
+            let Some(proxy) = host.proxy() else { continue };
+            for bytes in proxy.counts().await?.sources.values() {
+                meter.peer_bytes += bytes.to_target + bytes.to_source;
+                meter.peer_connections += bytes.connections;
+            }
+        }
+        if let Some(proxy) = fleet.platform.proxy() {
+            for bytes in proxy.counts().await?.sources.values() {
+                meter.platform_bytes += bytes.to_target + bytes.to_source;
+            }
+        }
+        Ok(meter)
+    }
+}
+
+/// What an interval cost, by host and second.
+#[derive(Clone, Copy, Debug)]
+struct FleetCost {
+    hosts: f64,
+    rate_per_s: f64,
+    cpu_percent: f64,
+    resident_mb: f64,
+    transactions: f64,
+    row_writes: f64,
+    row_reads: f64,
+    listings: f64,
+    platform_bytes: f64,
+    peer_bytes: f64,
+}
+
+impl FleetCost {
+    fn between(before: FleetMeter, after: FleetMeter, hosts: usize, rate_per_s: f64) -> Self {
+        let hosts = hosts as f64;
+        let by_host = (after.at - before.at).as_secs_f64() * hosts;
+        let rate = |before: u64, after: u64| (after - before) as f64 / by_host;
+        FleetCost {
+            hosts,
+            rate_per_s,
+            cpu_percent: (after.cpu - before.cpu).as_secs_f64() / by_host * 100.0,
+            resident_mb: after.resident_bytes as f64 / hosts / 1e6,
+            transactions: rate(before.platform.transactions, after.platform.transactions),
+            row_writes: rate(before.platform.row_writes, after.platform.row_writes),
+            row_reads: rate(before.platform.row_reads, after.platform.row_reads),
+            listings: rate(before.platform.listings, after.platform.listings),
+            platform_bytes: rate(before.platform_bytes, after.platform_bytes),
+            peer_bytes: rate(before.peer_bytes, after.peer_bytes),
+        }
+    }
+}
+
+async fn measure_fleet(
+    hosts_per_zone: usize,
+    load_seed: Option<u64>,
+) -> Result<(FleetCost, Vec<FleetCost>), StandinError> {
+    let fleet = TestFleet::open(FleetSettings {
+        fleet: format!("slopes-{hosts_per_zone}"),
+        hosts_per_zone,
+        servers: vec![ServerGroup::default()],
+        proxied: ProxiedLinks {
+            platform: true,
+            peers: true,
+            servers: false,
+        },
+        ..Default::default()
+    })
+    .await?;
+    tokio::time::sleep(SETTLE).await;
+    let hosts = fleet.hosts.len();
+    let before = FleetMeter::read(&fleet).await?;
+    tokio::time::sleep(IDLE).await;
+    let after = FleetMeter::read(&fleet).await?;
+    let idle = FleetCost::between(before, after, hosts, 0.0);
+    let mut loaded = Vec::new();
+    if let Some(seed) = load_seed {
+        loaded.push(idle);
+        for rate_per_s in RATES {
+            let before = FleetMeter::read(&fleet).await?;
+            run_load(load_settings(&fleet, rate_per_s, seed)).await?;
+            let after = FleetMeter::read(&fleet).await?;
+            loaded.push(FleetCost::between(before, after, hosts, rate_per_s));
+        }
+    }
+    fleet.close().await;
+    Ok((idle, loaded))
+}
+
+fn load_settings(fleet: &TestFleet, rate_per_s: f64, seed: u64) -> LoadSettings {
+    LoadSettings {
+        entries: fleet
+            .hosts
+            .iter()
+            .map(|host| host.addresses().front)
+            .collect(),
+        rate_per_s,
+        duration: LOADED,
+        requests: vec![LoadRequest {
+            key: NORTH_KEY.to_owned(),
+            ..Default::default()
+        }],
+        seed,
+        ..Default::default()
+    }
+}
+
+fn tell_idle(costs: &[&FleetCost], figures: &mut Figures) {
+    let mut tell = |name: &str, unit, bound, value: fn(&FleetCost) -> f64| {
+        let mut line = SizeLine::default();
+        for cost in costs {
+            line.push(cost.hosts, value(cost));
+        }
+        line.tell(name, unit, TARGET_HOSTS, bound, figures);
+    };
+    let none = Bound::None;
+    let cpu = Bound::AtMost(CONTROL_CPU_PERCENT);
+    tell("idle_cpu_by_hosts", "%", cpu, |cost| cost.cpu_percent);
+    tell("idle_memory_by_hosts", "MB", none, |cost| cost.resident_mb);
+    tell("idle_transactions_by_hosts", "1/s", none, |cost| {
+        cost.transactions
+    });
+    let bytes = Bound::AtMost(CONTROL_BYTES_PER_S);
+    tell("idle_platform_bytes_by_hosts", "B/s", none, |cost| {
+        cost.platform_bytes
+    });
+    tell("idle_peer_bytes_by_hosts", "B/s", none, |cost| {
+        cost.peer_bytes
+    });
+    tell("idle_control_bytes_by_hosts", "B/s", bytes, |cost| {
+        cost.platform_bytes + cost.peer_bytes
+    });
+    let writes = Bound::AtMost(PLATFORM_WRITES_PER_S);
+    tell("fleet_row_writes", "1/s", writes, |cost| {
+        cost.row_writes * cost.hosts
+    });
+    let reads = Bound::AtMost(PLATFORM_READS_PER_S);
+    tell("fleet_transactions", "1/s", reads, |cost| {
+        cost.transactions * cost.hosts
+    });
+    tell("fleet_row_reads", "rows/s", none, |cost| {
+        cost.row_reads * cost.hosts
+    });
+    tell("fleet_listings", "1/s", none, |cost| {
+        cost.listings * cost.hosts
+    });
+}
+
+fn tell_load(costs: &[FleetCost], figures: &mut Figures) {
+    let mut tell = |name: &str, unit, value: fn(&FleetCost) -> f64| {
+        let mut line = SizeLine::default();
+        for cost in costs {
+            line.push(cost.rate_per_s / cost.hosts, value(cost));
+        }
+        // 260,000 requests a second over 890 hosts.
+        line.tell(name, unit, 292.0, Bound::None, figures);
+    };
+    tell("cpu_by_rate_of_host", "%", |cost| cost.cpu_percent);
+    tell("peer_bytes_by_rate_of_host", "B/s", |cost| cost.peer_bytes);
+    tell("memory_by_rate_of_host", "MB", |cost| cost.resident_mb);
+}
--- /dev/null
+++ b/crates/standins/src/experiments/slopes/line.rs
@@ -0,0 +1,45 @@
+use crate::experiments::{Bound, Figures};
+
+/// Values of one figure at several sizes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SizeLine {
+    points: Vec<(f64, f64)>,
+}
+
+impl SizeLine {
+    pub(crate) fn push(&mut self, size: f64, value: f64) {
+        self.points.push((size, value));
+    }
+
+    /// Value at size 0 and growth by one, by least squares.
+    pub(crate) fn fit(&self) -> (f64, f64) {
+        let count = self.points.len() as f64;
+        let mean_x = self.points.iter().map(|(x, _)| x).sum::<f64>() / count;
+        let mean_y = self.points.iter().map(|(_, y)| y).sum::<f64>() / count;
+        let (mut covariance, mut variance) = (0.0, 0.0);
+        for (x, y) in &self.points {
+            covariance += (x - mean_x) * (y - mean_y);
+            variance += (x - mean_x).powi(2);
+        }
+        let slope = covariance / variance;
+        (mean_y - slope * mean_x, slope)
+    }
+
+    /// Tells each value, the slope, and what the line gives at a target.
+    pub(crate) fn tell(
+        &self,
+        name: &str,
+        unit: &'static str,
+        target: f64,
+        bound: Bound,
+        figures: &mut Figures,
+    ) {
+        for (size, value) in &self.points {
+            figures.push(&format!("{name}_at_{size}"), *value, unit, Bound::None);
+        }
+        let (base, slope) = self.fit();
+        figures.push(&format!("{name}_slope"), slope, unit, Bound::None);
+        let at_target = base + slope * target;
+        figures.push(&format!("{name}_target_{target}"), at_target, unit, bound);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/experiments/slopes/policies.rs
@@ -0,0 +1,240 @@
+use std::{hint::black_box, time::Duration};
+
+use mangostep_objects::{NormalPath, Snapshot};
+use mangostep_policy::{
+    DetectionSettings, FleetLimit, GrayDetector, HostStamp, KeeperAction, KeeperEvent,
+    KeeperSettings, KeeperTerm, LeaseTimes, LimitHome, ListedServer, Machine, MonotonicTime,
+    OutcomeKind, SlotAsk, SlotKeeper, SlotRelease, TakerWatch,
+};
+
+use crate::{
+    allocation::{live_bytes, thread_cpu},
+    experiments::{Bound, ExperimentSettings, Figures, slopes::line::SizeLine},
+    generate::{ObjectCounts, generate_objects, generated_secret, generated_workspace},
+};
+
+const WORKSPACES: [usize; 4] = [1_000, 8_000, 24_000, 72_000];
+const ROUTES: [usize; 3] = [500, 2_000, 5_600];
+const SERVERS: [usize; 4] = [5, 20, 80, 320];
+const HOSTS: [usize; 4] = [44, 178, 445, 890];
+const CALLS: usize = 20_000;
+
+/// Servers of one cell at the target size: 11,000 over 430 services in 6
+/// availability zones, rounded up.
+const CELL_SERVERS: f64 = 5.0;
+
+/// Measures what the policies and the snapshot cost in this process.
+pub(crate) fn measure(settings: ExperimentSettings, figures: &mut Figures) {
+    measure_workspaces(settings.seed, figures);
+    measure_routes(settings.seed, figures);
+    measure_limit_home(figures);
+    measure_keeper(figures);
+    measure_watch(figures);
+}
+
+/// Mean processor time of a call, in nanoseconds.
+fn time_calls(calls: usize, mut call: impl FnMut(usize)) -> f64 {
+    let start = thread_cpu();
+    for number in 0..calls {
+        call(number);
+    }
+    (thread_cpu() - start).as_nanos() as f64 / calls as f64
+}
+
+fn measure_workspaces(seed: u64, figures: &mut Figures) {
+    let mut bytes = SizeLine::default();
+    let mut compile = SizeLine::default();
+    let mut check = SizeLine::default();
+    for size in WORKSPACES {
+        let counts = ObjectCounts {
+            workspaces: size,
+            ..Default::default()
+        };
+        let set = generate_objects(counts, seed);
+        let before = live_bytes();
+        let start = thread_cpu();
+        let snapshot = Snapshot::compile(1, &set);
+        compile.push(size as f64, (thread_cpu() - start).as_secs_f64() * 1000.0);
+        bytes.push(size as f64, (live_bytes() - before) as f64);
+        let secrets: Vec<String> = (0..256)
+            .map(|number| generated_workspace(number * size / 256))
+            .map(|workspace| generated_secret(&workspace, 0, seed))
+            .collect();
+        let cost = time_calls(CALLS, |number| {
+            black_box(snapshot.workspace_of(secrets[number % 256].as_bytes()));
+        });
+        check.push(size as f64, cost);
+    }
+    let target = 72_000.0;
+    bytes.tell(
+        "snapshot_by_workspaces",
+        "bytes",
+        target,
+        Bound::None,
+        figures,
+    );
+    compile.tell("snapshot_compile", "ms", target, Bound::None, figures);
+    check.tell("key_check", "ns", target, Bound::None, figures);
+}
+
+fn measure_routes(seed: u64, figures: &mut Figures) {
+    let mut line = SizeLine::default();
+    for size in ROUTES {
+        let counts = ObjectCounts {
+            workspaces: 1_000,
+            routes: size,
+            ..Default::default()
+        };
+        let snapshot = Snapshot::compile(1, &generate_objects(counts, seed));
+        let paths: Vec<(String, NormalPath)> = (0..256)
+            .map(|number| number * size / 256)
+            .filter_map(|route| {
+                let path = NormalPath::parse(&format!("/part-{route:04}/x"))?;
+                Some((format!("app-{:03}.example", route % 430), path))
+            })
+            .collect();
+        let cost = time_calls(CALLS, |number| {
+            let (host, path) = &paths[number % paths.len()];
+            black_box(snapshot.route(host, path, "GET").is_some());
+        });
+        line.push(size as f64, cost);
+    }
+    line.tell("route_match", "ns", 5_600.0, Bound::None, figures);
+}
+
+fn measure_limit_home(figures: &mut Figures) {
+    let mut bytes = SizeLine::default();
+    let mut take = SizeLine::default();
+    let limit = FleetLimit {
+        rate_micro_per_s: 1_000_000_000,
+        burst_micro: 1_000_000_000,
+    };
+    for size in WORKSPACES {
+        let names: Vec<String> = (0..size).map(generated_workspace).collect();
+        let now = MonotonicTime::from_micros(1);
+        let before = live_bytes();
+        let mut home = LimitHome::open(0, now);
+        for name in &names {
+            home.take(now, name, limit, 1);
+        }
+        bytes.push(size as f64, (live_bytes() - before) as f64);
+        let cost = time_calls(CALLS, |number| {
+            let later = now + Duration::from_micros(number as u64);
+            black_box(home.take(later, &names[number * 31 % size], limit, 1));
+        });
+        take.push(size as f64, cost);
+    }
+    bytes.tell("limit_home_state", "bytes", 72_000.0, Bound::None, figures);
+    take.tell("limit_home_take", "ns", 72_000.0, Bound::None, figures);
+}
+
+fn measure_keeper(figures: &mut Figures) {
+    let mut bytes = SizeLine::default();
+    let mut turn = SizeLine::default();
+    for size in SERVERS {
+        let before = live_bytes();
+        let mut cell = CellBench::open(size);
+        // Filled by as many outcomes as the detector looks back on.
+        time_calls(CALLS, |number| cell.turn(number));
+        bytes.push(size as f64, live_bytes().saturating_sub(before) as f64);
+        turn.push(
+            size as f64,
+            time_calls(CALLS, |number| cell.turn(CALLS + number)),
+        );
+    }
+    bytes.tell(
+        "slot_keeper_state",
+        "bytes",
+        CELL_SERVERS,
+        Bound::None,
+        figures,
+    );
+    turn.tell("slot_keeper_turn", "ns", CELL_SERVERS, Bound::None, figures);
+}
+
+/// A cell whose servers answer every request in 20 ms.
+struct CellBench {
+    keeper: SlotKeeper<GrayDetector>,
+    actions: Vec<KeeperAction>,
+}
+
+impl CellBench {
+    fn open(servers: usize) -> Self {
+        let now = MonotonicTime::from_micros(1);
+        let detector = GrayDetector::new(DetectionSettings::default());
+        let term = KeeperTerm::HeldFrom(now);
+        let mut bench = CellBench {
+            keeper: SlotKeeper::open(KeeperSettings::default(), term, detector),
+            actions: Vec::new(),
+        };
+        let listed = (0..servers).map(|number| ListedServer {
+            name: format!("server-{number:04}"),
+            is_leaving: false,
+        });
+        let event = KeeperEvent::Servers(listed.collect());
+        bench.keeper.apply(now, event, &mut bench.actions);
+        bench
+    }
+
+    /// One request: an ask, a grant and a release.
+    fn turn(&mut self, number: usize) {
+        let now = MonotonicTime::from_micros(1 + number as u64 * 1000);
+        let ask = SlotAsk {
+            ticket: number as u64,
+            workspace: "workspace-00001".to_owned(),
+            left: Duration::from_secs(1),
+            ..Default::default()
+        };
+        self.actions.clear();
+        self.keeper
+            .apply(now, KeeperEvent::Ask(ask), &mut self.actions);
+        let granted = self.actions.iter().find_map(|action| match action {
+            KeeperAction::Grant { permit, .. } => Some(*permit),
+            _ => None,
+        });
+        let Some(permit) = granted else {
+            return;
+        };
+        let release = SlotRelease {
+            permit,
+            source: "a0".to_owned(),
+            outcome: OutcomeKind::Answered,
+            header: Duration::from_millis(20),
+            total: Duration::from_millis(20),
+        };
+        self.actions.clear();
+        self.keeper
+            .apply(now, KeeperEvent::Release(release), &mut self.actions);
+    }
+}
+
+fn measure_watch(figures: &mut Figures) {
+    let mut bytes = SizeLine::default();
+    let mut read = SizeLine::default();
+    for size in HOSTS {
+        let before = live_bytes();
+        let mut watch = TakerWatch::new(LeaseTimes::default());
+        let stamps = |number: u64| -> Vec<HostStamp> {
+            (0..size)
+                .map(|host| HostStamp {
+                    host: format!("host-{host:04}"),
+                    incarnation: 7,
+                    number,
+                    confirmed: number,
+                    member_set: 1,
+                })
+                .collect()
+        };
+        let readings: Vec<Vec<HostStamp>> = (1..=20).map(stamps).collect();
+        let ready = live_bytes();
+        let cost = time_calls(readings.len(), |number| {
+            let now = MonotonicTime::from_micros(1_500_000 * (1 + number as u64));
+            watch.read(now, now, &readings[number]);
+        });
+        bytes.push(size as f64, (live_bytes() - ready) as f64);
+        read.push(size as f64, cost / 1000.0);
+        debug_assert!(ready >= before);
+    }
+    bytes.tell("lease_watch_state", "bytes", 890.0, Bound::None, figures);
+    read.tell("lease_watch_reading", "us", 890.0, Bound::None, figures);
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`experiments`]: measurements against stated bounds.
 //! * [`workload`]: drawn outcomes of a cell's requests, without processes.
 
+mod allocation;
 mod error;
 mod http;
 mod usage;
@@ -28,4 +29,6 @@
 pub mod proxy;
 pub mod workload;
 
-pub use crate::{error::StandinError, http::CutPlace, usage::ProcessUsage};
+pub use crate::{
+    allocation::CountingAllocator, error::StandinError, http::CutPlace, usage::ProcessUsage,
+};
