--- a/crates/standins/src/experiments/figures.rs
+++ b/crates/standins/src/experiments/figures.rs
@@ -38,7 +38,7 @@
 
 impl fmt::Display for Figure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let value = (self.value * 10_000.0).round() / 10_000.0;
+        let value = round_significant(self.value);
         write!(f, "{} {value} {} ", self.name, self.unit)?;
         match self.bound {
             Bound::None => return f.write_str("- told"),
@@ -49,6 +49,16 @@
     }
 }
 
+/// Rounds to four significant digits, and whole numbers not at all.
+fn round_significant(value: f64) -> f64 {
+    if value == 0.0 || value.fract() == 0.0 || !value.is_finite() {
+        return value;
+    }
+    let digits = 3 - value.abs().log10().floor() as i32;
+    let scale = 10_f64.powi(digits.max(0));
+    (value * scale).round() / scale
+}
+
 /// The figures of one experiment, in the order of their lines.
 ///
 /// # Example
--- a/crates/standins/src/experiments/path_overhead.rs
+++ b/crates/standins/src/experiments/path_overhead.rs
@@ -10,7 +10,7 @@
     fleet::{Caller, FleetSettings, NORTH_KEY, ServerGroup, TestFleet, basic_objects},
     fleet::{ReadyProbe, StartObjects},
     load::{LoadReport, LoadRequest, LoadSettings, run_load},
-    usage::ProcessUsage,
+    usage::{ProcessUsage, load_average},
 };
 
 /// Added time that 99 in 100 requests may have.
@@ -52,6 +52,7 @@
     figures.push("added_p99", added(0.99), "ms", Bound::AtMost(ADDED_P99_MS));
     let unserved = through.total.sent - through.total.served;
     figures.push("unserved", unserved as f64, "requests", Bound::AtMost(0.0));
+    figures.push("load_average", load_average(), "threads", Bound::None);
     saturate(&fleet, &mut figures).await?;
     fleet.close().await;
     Ok(figures)
