Check the lease with a random model and aimed traces

Cause: the lease's clauses were argued, not tried, on the project's own types. Change: lease_model runs the real HostLease, TakerWatch and MemberPlanner with clock rates, pauses, one-way cuts, late writes, lost answers, restarts, joins and leaves. lease_traces holds aimed traces for three clauses: late answer, vouch from arrival, majority of the set before. Each mutant fails its test. A restarted host's wait is not needed for standing, since a taker starts anew with each incarnation; it stays for freshness. Freshness no longer counts a host without a configuration. Conclusion: all clauses but the restart wait are shown to be needed.

--- a/crates/mangostep-daemon/src/lease_desk.rs
+++ b/crates/mangostep-daemon/src/lease_desk.rs
@@ -181,7 +181,8 @@
             let Some(doubter) = self.doubters.get(member) else {
                 continue;
             };
-            if doubter.version <= own_version {
+            // A host without a configuration cannot say that none is larger.
+            if (1..=own_version).contains(&doubter.version) {
                 askings.push(doubter.asked);
             }
         }
--- a/crates/mangostep-policy/src/lease/host_lease.rs
+++ b/crates/mangostep-policy/src/lease/host_lease.rs
@@ -82,11 +82,6 @@
     /// The same with some clauses switched off, for model checks.
     #[doc(hidden)]
     pub fn with_rules(times: LeaseTimes, rules: LeaseRules, started: MonotonicTime) -> Self {
-        let last_confirmed = if rules.restart_waits {
-            started
-        } else {
-            MonotonicTime::ZERO
-        };
         HostLease {
             times,
             rules,
@@ -94,7 +89,7 @@
             confirmed: 0,
             pending: None,
             due: started,
-            last_confirmed,
+            last_confirmed: started,
             lease_end: MonotonicTime::ZERO,
             standing_end: MonotonicTime::ZERO,
             replaced: false,
--- a/crates/mangostep-policy/src/lease/rules.rs
+++ b/crates/mangostep-policy/src/lease/rules.rs
@@ -25,8 +25,6 @@
     pub answer_limit: bool,
     /// A vouch counts from its asking, not from its arrival.
     pub vouch_from_asking: bool,
-    /// A restarted host vouches only after the time of doubt.
-    pub restart_waits: bool,
     /// A take needs a majority of each set that hosts may still go by.
     pub sets_before: bool,
 }
@@ -44,7 +42,6 @@
             conditional_take: true,
             answer_limit: true,
             vouch_from_asking: true,
-            restart_waits: true,
             sets_before: true,
         }
     }
--- /dev/null
+++ b/crates/mangostep-policy/tests/lease_model/world.rs
@@ -0,0 +1,428 @@
+//! One run of the model: a few hosts, the table, and what fails.
+
+use std::collections::BTreeMap;
+
+use {
+    mangostep_policy::{LeaseRules, LeaseTimes, MonotonicTime},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+};
+
+use crate::{
+    faults::{End, Links, draw_delay},
+    process::Process,
+    table::{Operation, Table},
+};
+
+pub(crate) const TICKS_PER_SECOND: u64 = 10;
+
+/// Longest delay of a message.
+pub(crate) const LONG_SECONDS: u64 = 15;
+
+/// How a run goes.
+#[derive(Clone, Debug)]
+pub(crate) struct RunSettings {
+    pub(crate) seed: u64,
+    pub(crate) rules: LeaseRules,
+    /// Hosts that run from the start.
+    pub(crate) hosts: usize,
+    /// Hosts that join later.
+    pub(crate) spares: usize,
+    pub(crate) ticks: u64,
+    /// Faults are drawn at random; else the store goes away for good after a
+    /// while, for everybody at once.
+    pub(crate) faults: bool,
+}
+
+impl Default for RunSettings {
+    fn default() -> Self {
+        RunSettings {
+            seed: 0,
+            rules: LeaseRules::default(),
+            hosts: 5,
+            spares: 2,
+            ticks: 2_500,
+            faults: true,
+        }
+    }
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunResult {
+    /// First tick at which two processes acted as holder, with both.
+    pub(crate) overlap: Option<(u64, Vec<(usize, u64)>)>,
+    /// Changes of the holder.
+    pub(crate) takeovers: u64,
+    /// Version of the member set at the end.
+    pub(crate) member_changes: u64,
+    /// Ticks at which some process acted.
+    pub(crate) served: u64,
+    /// Hosts with standing at the end.
+    pub(crate) standing: usize,
+}
+
+#[derive(Debug)]
+enum Message {
+    ToStore {
+        process: usize,
+        operation: Operation,
+        asked: MonotonicTime,
+    },
+    FromStore {
+        process: usize,
+        operation: Operation,
+        asked: MonotonicTime,
+        was_written: bool,
+        table: Box<Table>,
+    },
+    Ask {
+        process: usize,
+        member: usize,
+        asked: MonotonicTime,
+    },
+    Vouch {
+        process: usize,
+        member: usize,
+        asked: MonotonicTime,
+    },
+}
+
+#[derive(Debug)]
+pub(crate) struct World {
+    settings: RunSettings,
+    times: LeaseTimes,
+    rng: StdRng,
+    links: Links,
+    table: Table,
+    processes: Vec<Process>,
+    /// Present process of each host.
+    present: Vec<Option<usize>>,
+    messages: BTreeMap<u64, Vec<Message>>,
+    result: RunResult,
+}
+
+pub(crate) fn host_name(host: usize) -> String {
+    format!("h{host}")
+}
+
+/// Tick at which the store goes away in a run without random faults.
+const OUTAGE_TICK: u64 = 300;
+
+/// Longest jump of a pause, in ticks.
+const PAUSE_TICKS: std::ops::Range<u64> = 10..400;
+
+impl World {
+    pub(crate) fn new(settings: RunSettings) -> Self {
+        let all = settings.hosts + settings.spares;
+        let mut world = World {
+            rng: StdRng::seed_from_u64(settings.seed),
+            times: LeaseTimes::default(),
+            links: Links::default(),
+            table: Table::new(all),
+            processes: Vec::new(),
+            present: vec![None; all],
+            messages: BTreeMap::new(),
+            result: RunResult::default(),
+            settings,
+        };
+        for host in 0..world.settings.hosts {
+            world.start(host, 0);
+        }
+        world
+    }
+
+    pub(crate) fn run(mut self) -> RunResult {
+        for tick in 0..self.settings.ticks {
+            self.draw_faults(tick);
+            self.deliver(tick);
+            for process in 0..self.processes.len() {
+                self.step(process, tick);
+            }
+            self.look(tick);
+            if self.result.overlap.is_some() {
+                break;
+            }
+        }
+        self.result.takeovers = self.table.holder.epoch.saturating_sub(1);
+        let members = self.table.members.as_ref();
+        self.result.member_changes = members.map_or(0, |set| set.version() - 1);
+        self.result
+    }
+
+    fn start(&mut self, host: usize, tick: u64) {
+        let rate = 1.0 + self.rng.random_range(-0.01..0.01);
+        let offset_us = self.rng.random_range(0.0..1e9);
+        let incarnation = self.processes.len() as u64 + 1;
+        let process = Process::new(
+            host,
+            incarnation,
+            &self.settings.rules,
+            &self.times,
+            rate,
+            offset_us,
+            tick,
+        );
+        self.present[host] = Some(self.processes.len());
+        self.processes.push(process);
+    }
+
+    fn draw_faults(&mut self, tick: u64) {
+        let all = self.present.len();
+        if !self.settings.faults {
+            if tick == OUTAGE_TICK {
+                for host in 0..all {
+                    self.links.cut(End::Host(host), End::Store, u64::MAX);
+                    self.links.cut(End::Store, End::Host(host), u64::MAX);
+                }
+            }
+            return;
+        }
+        self.links.draw(&mut self.rng, all, tick);
+        if self.rng.random_bool(0.006) {
+            let host = self.rng.random_range(0..all);
+            let until = tick + self.rng.random_range(PAUSE_TICKS);
+            if let Some(process) = self.present[host] {
+                self.processes[process].paused_until = until;
+            }
+        }
+        if self.rng.random_bool(0.004) {
+            let host = self.rng.random_range(0..all);
+            self.replace(host, tick);
+        }
+    }
+
+    /// Starts, restarts, or cleanly stops the process of a host.
+    fn replace(&mut self, host: usize, tick: u64) {
+        if let Some(process) = self.present[host] {
+            let old = &mut self.processes[process];
+            old.is_alive = false;
+            if self.rng.random_bool(0.3) {
+                let leave = Operation::Leave {
+                    host,
+                    incarnation: old.incarnation,
+                };
+                self.present[host] = None;
+                self.table.run(host, &leave);
+                return;
+            }
+        }
+        self.start(host, tick);
+    }
+
+    fn send(&mut self, due: u64, message: Message) {
+        self.messages.entry(due).or_default().push(message);
+    }
+
+    fn call_store(&mut self, process: usize, tick: u64, operation: Operation) {
+        let sender = &self.processes[process];
+        let asked = sender.now(tick);
+        if !self.links.is_up(End::Host(sender.host), End::Store, tick) {
+            return;
+        }
+        let due = tick + draw_delay(&mut self.rng);
+        self.send(
+            due,
+            Message::ToStore {
+                process,
+                operation,
+                asked,
+            },
+        );
+    }
+
+    fn deliver(&mut self, tick: u64) {
+        while let Some(entry) = self.messages.first_entry() {
+            if *entry.key() > tick {
+                return;
+            }
+            for message in entry.remove() {
+                self.deliver_one(tick, message);
+            }
+        }
+    }
+
+    fn deliver_one(&mut self, tick: u64, message: Message) {
+        match message {
+            Message::ToStore {
+                process,
+                operation,
+                asked,
+            } => self.run_at_store(tick, process, operation, asked),
+            Message::FromStore { process, .. } | Message::Vouch { process, .. }
+                if self.processes[process].paused_until > tick =>
+            {
+                let due = self.processes[process].paused_until;
+                self.send(due, message);
+            }
+            Message::FromStore {
+                process,
+                operation,
+                asked,
+                was_written,
+                table,
+            } => self.take_store_answer(tick, process, operation, asked, was_written, &table),
+            Message::Ask {
+                process,
+                member,
+                asked,
+            } => self.take_ask(tick, process, member, asked),
+            Message::Vouch {
+                process,
+                member,
+                asked,
+            } => {
+                let asker = &mut self.processes[process];
+                let now = asker.now(tick);
+                asker.lease.note_vouch(now, &host_name(member), asked);
+            }
+        }
+    }
+
+    fn run_at_store(
+        &mut self,
+        tick: u64,
+        process: usize,
+        operation: Operation,
+        asked: MonotonicTime,
+    ) {
+        let host = self.processes[process].host;
+        let was_written = self.table.run(host, &operation);
+        let is_lost = was_written && self.links.loses_answer(host, tick);
+        if is_lost || !self.links.is_up(End::Store, End::Host(host), tick) {
+            return;
+        }
+        let due = tick + draw_delay(&mut self.rng);
+        let table = Box::new(self.table.clone());
+        self.send(
+            due,
+            Message::FromStore {
+                process,
+                operation,
+                asked,
+                was_written,
+                table,
+            },
+        );
+    }
+
+    fn take_store_answer(
+        &mut self,
+        tick: u64,
+        process: usize,
+        operation: Operation,
+        asked: MonotonicTime,
+        was_written: bool,
+        table: &Table,
+    ) {
+        let taker = &mut self.processes[process];
+        if !taker.is_alive {
+            return;
+        }
+        let now = taker.now(tick);
+        match operation {
+            Operation::Renew { stamp, .. } => {
+                taker.take_renewal(now, stamp.number, was_written, table);
+            }
+            Operation::Read => {
+                for write in taker.take_reading(asked, now, table) {
+                    self.call_store(process, tick, write);
+                }
+            }
+            Operation::Take { .. } | Operation::WriteMembers { .. } | Operation::Leave { .. } => {}
+        }
+    }
+
+    fn take_ask(&mut self, tick: u64, process: usize, member: usize, asked: MonotonicTime) {
+        let Some(answering) = self.present[member] else {
+            return;
+        };
+        let answerer = &self.processes[answering];
+        if answerer.paused_until > tick {
+            let due = answerer.paused_until;
+            self.send(
+                due,
+                Message::Ask {
+                    process,
+                    member,
+                    asked,
+                },
+            );
+            return;
+        }
+        let vouches = answerer.lease.vouches(answerer.now(tick));
+        let asker = self.processes[process].host;
+        if vouches && self.links.is_up(End::Host(member), End::Host(asker), tick) {
+            let due = tick + draw_delay(&mut self.rng);
+            self.send(
+                due,
+                Message::Vouch {
+                    process,
+                    member,
+                    asked,
+                },
+            );
+        }
+    }
+
+    fn step(&mut self, process: usize, tick: u64) {
+        let stepping = &mut self.processes[process];
+        if !stepping.runs(tick) {
+            return;
+        }
+        let now = stepping.now(tick);
+        if let Some(renewal) = stepping.lease.begin_renewal(now) {
+            let operation = stepping.renewal(renewal);
+            self.call_store(process, tick, operation);
+        }
+        let stepping = &mut self.processes[process];
+        let name = host_name(stepping.host);
+        stepping.lease.extend(now, &name, &stepping.members);
+        if now >= stepping.next_read {
+            stepping.next_read = now + self.times.reading_gap_min / 2;
+            self.call_store(process, tick, Operation::Read);
+        }
+        let stepping = &mut self.processes[process];
+        if now >= stepping.next_ask && stepping.lease.is_in_doubt(now) {
+            stepping.next_ask = now + self.times.ask_every;
+            self.ask_members(process, tick, now);
+        }
+    }
+
+    fn ask_members(&mut self, process: usize, tick: u64, asked: MonotonicTime) {
+        let own = self.processes[process].host;
+        for member in 0..self.present.len() {
+            let is_member = self.processes[process].members.contains(&host_name(member));
+            let is_up = self.links.is_up(End::Host(own), End::Host(member), tick);
+            if member == own || !is_member || !is_up {
+                continue;
+            }
+            let due = tick + draw_delay(&mut self.rng);
+            self.send(
+                due,
+                Message::Ask {
+                    process,
+                    member,
+                    asked,
+                },
+            );
+        }
+    }
+
+    fn look(&mut self, tick: u64) {
+        let acting: Vec<(usize, u64)> = self
+            .processes
+            .iter()
+            .filter(|process| process.acts(tick))
+            .map(|process| (process.host, process.incarnation))
+            .collect();
+        self.result.served += u64::from(!acting.is_empty());
+        let has_standing = |process: &&Process| {
+            let now = process.now(tick);
+            process.runs(tick) && process.lease.standing_end() > now
+        };
+        self.result.standing = self.processes.iter().filter(has_standing).count();
+        if acting.len() > 1 {
+            self.result.overlap = Some((tick, acting));
+        }
+    }
+}
