Prove lease, members and relay with processes; add the members command

Cause: standing, takeover and relay were tried in two tests only; an operator could not end the loss of a majority; rows of dead hosts stayed for ever. Change: eleven process tests (store away for all, for one, answers lost after the write, kill, quick restart, freeze and wake, planned stop, start without the store, relay past the object store and past the whole platform, dropped majority); mangostep members; rows of lapsed strangers go after 600 s; a lease section in the status.

--- a/crates/mangostep-daemon/src/lease_desk.rs
+++ b/crates/mangostep-daemon/src/lease_desk.rs
@@ -205,6 +205,12 @@
             Standing::Lapsed => "lease-lapsed",
         };
         context.recorder.record(name, &[]);
+        let section = serde_json::json!({
+            "standing": name,
+            "member_set": self.members.version(),
+            "members": self.members.members(),
+        });
+        context.status.set("lease", section);
         slog::info!(context.log, "standing changed"; "standing" => name);
     }
 }
--- a/crates/mangostep-daemon/src/store/reading.rs
+++ b/crates/mangostep-daemon/src/store/reading.rs
@@ -10,6 +10,9 @@
     store::{StoreDuty, renewal::MembersRead, table_view::KnownRow},
 };
 
+/// How long the row of a lapsed host that is no member is kept.
+const LAPSED_ROW_KEPT: Duration = Duration::from_secs(600);
+
 /// Pause after a reading that failed.
 const READING_PAUSE: Duration = Duration::from_millis(300);
 
@@ -62,7 +65,8 @@
                 if set.members().is_empty() {
                     return Ok(());
                 }
-                self.plan_holders(now, &set).await
+                self.plan_holders(now, &set).await?;
+                self.remove_dead_rows(now, &set).await
             }
             _ => Ok(()),
         }
@@ -87,6 +91,32 @@
         }
     }
 
+    /// Removes rows of hosts that lapsed long ago and are no members.
+    ///
+    /// A process that wakes after that finds its row gone and never holds
+    /// anything again.
+    async fn remove_dead_rows(
+        &self,
+        now: MonotonicTime,
+        members: &MemberSet,
+    ) -> Result<(), PlatformError> {
+        let fleet = &self.context.settings.fleet;
+        let dead = self.view.borrow().dead_rows(now, members, LAPSED_ROW_KEPT);
+        for known in dead {
+            let key = keys::host(fleet, &known.row.host);
+            let removal = Transaction {
+                conditions: vec![Condition {
+                    key: key.clone(),
+                    version: known.version,
+                }],
+                writes: vec![Write { key, value: None }],
+                ..Default::default()
+            };
+            self.client.transact(&removal).await?;
+        }
+        Ok(())
+    }
+
     async fn write_members(&self, version: u64, set: &MemberSet) -> Result<(), PlatformError> {
         let key = keys::members(&self.context.settings.fleet);
         let write = Transaction {
--- a/crates/mangostep-daemon/src/store/table_view.rs
+++ b/crates/mangostep-daemon/src/store/table_view.rs
@@ -148,6 +148,25 @@
         live
     }
 
+    /// Rows of hosts that lapsed at least so long ago and are no members.
+    pub(super) fn dead_rows(
+        &self,
+        now: MonotonicTime,
+        members: &MemberSet,
+        kept: Duration,
+    ) -> Vec<KnownRow> {
+        let is_dead = |row: &HostRow| {
+            let unchanged = self.watch.unchanged_for(now, &row.host);
+            !members.contains(&row.host)
+                && unchanged.is_some_and(|unchanged| unchanged >= kept)
+                && self
+                    .watch
+                    .has_lapsed(now, &row.host, row.incarnation, members)
+        };
+        let rows = self.rows.values();
+        rows.filter(|known| is_dead(&known.row)).cloned().collect()
+    }
+
     /// Publishes the view to the other threads.
     pub(super) fn publish(&self, context: &HostContext, now: MonotonicTime, members: &MemberSet) {
         let is_lapsed = |row: &HostRow| {
--- a/crates/mangostep/src/main.rs
+++ b/crates/mangostep/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod command;
 mod fleet_access;
+mod members;
 mod publish;
 mod serve;
 mod status;
@@ -23,6 +24,7 @@
   check PATH...      check a set of objects as one
   publish PATH...    publish a set of objects and wait until it is in force
   status             show hosts, versions in force, zones and ejections
+  members            show the member set, or drop hosts that died for good
   timeline           show the events of all hosts in one order
   help [COMMAND]     show this text, or that of a command
   version            show the version
@@ -47,6 +49,7 @@
         "check" => (check::run, check::USAGE),
         "publish" => (publish::run, publish::USAGE),
         "status" => (status::run, status::USAGE),
+        "members" => (members::run, members::USAGE),
         "timeline" => (timeline::run, timeline::USAGE),
         "version" => (show_version, "Usage: mangostep version\n"),
         "" if wants_help => (show_usage, USAGE),
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -157,6 +157,14 @@
         Caller::open(front, Some(source), Some(key).filter(|key| !key.is_empty()))
     }
 
+    /// Lays further settings over those of hosts that are started from now on.
+    pub fn extend_host_settings(&mut self, further: &serde_json::Value) {
+        let fields = self.settings.host_settings.as_object_mut();
+        if let (Some(fields), Some(further)) = (fields, further.as_object()) {
+            fields.extend(further.clone());
+        }
+    }
+
     /// Puts an object set into force without the `mangostep` command, and
     /// returns its version.
     ///
--- a/crates/standins/tests/lease/rows.rs
+++ b/crates/standins/tests/lease/rows.rs
@@ -8,9 +8,17 @@
         Transaction, keys,
     },
     mangostep_policy::MemberSet,
+    serde::Deserialize,
     standins::fleet::{HostHandle, TestFleet, wait_until},
 };
 
+/// Longest time for a fleet to found its member set and hold everything.
+pub(crate) const FOUNDING_LIMIT: Duration = Duration::from_secs(20);
+
+/// Longest time to take over what a lapsed host held. The lease with drift,
+/// margin and three readings is 13 s; the rest is for a busy machine.
+pub(crate) const TAKEOVER_LIMIT: Duration = Duration::from_secs(30);
+
 pub(crate) type TestResult = Result<(), Box<dyn std::error::Error>>;
 
 /// What the table says of a fleet.
@@ -92,14 +100,53 @@
     Ok(())
 }
 
-/// How often a host has logged a change of standing.
-pub(crate) fn standing_changes(fleet: &TestFleet, host: &HostHandle, standing: &str) -> usize {
-    let text = host_log(fleet, host);
-    let needle = format!("\"standing\":\"{standing}\"");
-    text.matches(&needle).count()
+/// One event of a host's time line.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct HostEvent {
+    pub(crate) name: String,
+    pub(crate) wall_us: i64,
+    pub(crate) fields: BTreeMap<String, String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct EventPage {
+    events: Vec<HostEvent>,
 }
 
-pub(crate) fn host_log(fleet: &TestFleet, host: &HostHandle) -> String {
-    let path = fleet.directory().join(format!("{}.log", host.name()));
-    std::fs::read_to_string(path).unwrap_or_default()
+/// All events of a host; none when it does not answer.
+pub(crate) async fn events(host: &HostHandle) -> Vec<HostEvent> {
+    let operator = host.addresses().operator;
+    let answer = reqwest::Client::builder()
+        .no_proxy()
+        .timeout(Duration::from_secs(2))
+        .build()
+        .expect("the HTTP library can be set up")
+        .get(format!("http://{operator}/events?since=0&most=8000"))
+        .send()
+        .await;
+    let Ok(answer) = answer else {
+        return Vec::new();
+    };
+    answer.json::<EventPage>().await.unwrap_or_default().events
+}
+
+/// How many events of a name a host has recorded.
+pub(crate) async fn count_events(host: &HostHandle, name: &str) -> usize {
+    let events = events(host).await;
+    events.iter().filter(|event| event.name == name).count()
+}
+
+/// Waits until a host has recorded so many events of a name.
+pub(crate) async fn wait_events(
+    host: &HostHandle,
+    name: &str,
+    least: usize,
+    limit: Duration,
+) -> TestResult {
+    let what = format!("{} recorded {name} {least} times", host.name());
+    wait_until(&what, limit, || async {
+        count_events(host, name).await >= least
+    })
+    .await?;
+    Ok(())
 }
--- /dev/null
+++ b/crates/standins/tests/lease/spread.rs
@@ -0,0 +1,63 @@
+use std::time::Duration;
+
+use standins::{
+    fleet::{TestFleet, basic_objects},
+    platform::{AwayMode, PlatformFault, PlatformPart},
+};
+
+use crate::{
+    open_three,
+    rows::{TestResult, events, wait_events},
+};
+
+/// Time in which a version that was accepted must be in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(9);
+
+#[tokio::test]
+async fn a_version_reaches_a_host_that_the_object_store_does_not_answer() -> TestResult {
+    reaches_cut_off_host(Some(PlatformPart::Objects)).await
+}
+
+#[tokio::test]
+async fn a_version_reaches_a_host_that_the_platform_does_not_answer() -> TestResult {
+    reaches_cut_off_host(None).await
+}
+
+async fn reaches_cut_off_host(part: Option<PlatformPart>) -> TestResult {
+    let fleet = open_three(Default::default()).await?;
+    let fault = PlatformFault {
+        clients: vec!["a0".to_owned()],
+        part,
+        away: Some(AwayMode::Hang),
+        ..Default::default()
+    };
+    fleet.platform.set_faults(vec![fault]).await?;
+    publish_again(&fleet).await?;
+    for host in &fleet.hosts {
+        wait_events(host, "version-in-force", 2, IN_FORCE_LIMIT).await?;
+    }
+    let events = events(&fleet.hosts[0]).await;
+    let in_force: Vec<_> = events
+        .iter()
+        .filter(|event| event.name == "version-in-force")
+        .collect();
+    let versions: Vec<&str> = in_force
+        .iter()
+        .map(|event| event.fields["version"].as_str())
+        .collect();
+    assert_eq!(versions, ["1", "2"]);
+    assert_eq!(in_force[0].fields["from"], "object store");
+    assert_ne!(
+        in_force[1].fields["from"], "object store",
+        "a peer relayed it"
+    );
+    fleet.close().await;
+    Ok(())
+}
+
+async fn publish_again(fleet: &TestFleet) -> TestResult {
+    let zones = ["a", "b", "c"].map(str::to_owned);
+    let version = fleet.publish(&basic_objects(&zones)).await?;
+    assert_eq!(version, 2);
+    Ok(())
+}
