--- a/crates/mangostep-daemon/src/lease_desk.rs
+++ b/crates/mangostep-daemon/src/lease_desk.rs
@@ -181,7 +181,8 @@
             let Some(doubter) = self.doubters.get(member) else {
                 continue;
             };
-            if doubter.version <= own_version {
+            // A host without a configuration cannot say that none is larger.
+            if (1..=own_version).contains(&doubter.version) {
                 askings.push(doubter.asked);
             }
         }
@@ -204,6 +205,12 @@
             Standing::Lapsed => "lease-lapsed",
         };
         context.recorder.record(name, &[]);
+        let section = serde_json::json!({
+            "standing": name,
+            "member_set": self.members.version(),
+            "members": self.members.members(),
+        });
+        context.status.set("lease", section);
         slog::info!(context.log, "standing changed"; "standing" => name);
     }
 }
