Close idle stopgaps and try a silent keeper by one request at a time

While a keeper was frozen all requests ran into its time-out together each second. Also: a cell that was first opened by an ask, or promoted, had no probes. Change: an idle stopgap is closed, news of warm servers reach an open one, one request at a time tries an unreachable host, held cells claim a prober. Conclusion: tests for cold start over a keeper kill, leaving servers and zones out and back are in crates/standins/tests/slots.rs.

--- a/crates/mangostep-daemon/src/slots/asking.rs
+++ b/crates/mangostep-daemon/src/slots/asking.rs
@@ -137,11 +137,10 @@
             return (self.ask_here(ask).await, None);
         }
         let holder = self.holder_address(&resource);
-        if let Some(keeper) = holder.filter(|keeper| self.is_reachable(now, *keeper)) {
+        if let Some(keeper) = holder.filter(|keeper| self.may_try(now, *keeper)) {
             match self.ask_there(keeper, &ask).await {
                 Ok(answer) if !answer.is_not_keeper() => return (answer, Some(keeper)),
-                Ok(_) => {}
-                Err(err) => self.note_unreachable(keeper, &err),
+                Ok(_) | Err(_) => {}
             }
         }
         self.ask_stopgap(&resource, ask).await
@@ -166,15 +165,12 @@
         if name == self.context.settings.host {
             return (self.ask_here(ask).await, None);
         }
-        if !self.is_reachable(self.context.clock.now(), peer) {
+        if !self.may_try(self.context.clock.now(), peer) {
             return (CellAnswer::not_keeper(), None);
         }
         match self.ask_there(peer, &ask).await {
             Ok(answer) => (answer, Some(peer)),
-            Err(err) => {
-                self.note_unreachable(peer, &err);
-                (CellAnswer::not_keeper(), None)
-            }
+            Err(_) => (CellAnswer::not_keeper(), None),
         }
     }
 
@@ -191,9 +187,17 @@
             let answer = CellAnswer::read(response.get_answer()?)?;
             Ok((response.get_stamp(), answer))
         };
-        let (stamp, answer) = self.links.call(peer, "ask slot", limit, call).await?;
-        clock.observe(stamp);
-        Ok(answer)
+        match self.links.call(peer, "ask slot", limit, call).await {
+            Ok((stamp, answer)) => {
+                clock.observe(stamp);
+                self.note_reachable(peer);
+                Ok(answer)
+            }
+            Err(err) => {
+                self.note_unreachable(peer, &err);
+                Err(err)
+            }
+        }
     }
 
     fn holder_address(&self, resource: &str) -> Option<SocketAddr> {
@@ -203,16 +207,28 @@
         (host.name != self.context.settings.host).then_some(host.peer)
     }
 
-    fn is_reachable(&self, now: MonotonicTime, peer: SocketAddr) -> bool {
-        let unreachable = self.unreachable.borrow();
-        unreachable.get(&peer).is_none_or(|until| *until <= now)
+    /// Whether to ask a host; one that did not answer is tried by a single
+    /// request at a time.
+    fn may_try(&self, now: MonotonicTime, peer: SocketAddr) -> bool {
+        match self.unreachable.borrow_mut().get_mut(&peer) {
+            None => true,
+            Some(until) if *until <= now => {
+                *until = now + UNREACHABLE_FOR;
+                true
+            }
+            Some(_) => false,
+        }
+    }
+
+    fn note_reachable(&self, peer: SocketAddr) {
+        if self.unreachable.borrow_mut().remove(&peer).is_some() {
+            slog::info!(self.context.log, "keeper reachable"; "peer" => peer.to_string());
+        }
     }
 
     fn note_unreachable(&self, peer: SocketAddr, err: &DaemonError) {
-        let now = self.context.clock.now();
-        let mut unreachable = self.unreachable.borrow_mut();
-        unreachable.retain(|_, until| *until > now);
-        if unreachable.insert(peer, now + UNREACHABLE_FOR).is_none() {
+        let until = self.context.clock.now() + UNREACHABLE_FOR;
+        if self.unreachable.borrow_mut().insert(peer, until).is_none() {
             slog::info!(self.context.log, "keeper unreachable"; "cause" => err.to_string());
         }
     }
--- a/crates/mangostep-daemon/src/slots/cell.rs
+++ b/crates/mangostep-daemon/src/slots/cell.rs
@@ -20,6 +20,9 @@
     },
 };
 
+/// Time without an ask after which a cell counts as idle.
+const IDLE_AFTER: Duration = Duration::from_secs(2);
+
 /// In which right this host grants slots of a cell now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CellRight {
@@ -50,8 +53,12 @@
     tickets: Slab<oneshot::Sender<CellAnswer>>,
     config_version: u64,
     listed: Vec<ListedServer>,
+    /// The directory that `listed` comes from.
+    directory: Arc<Vec<DirectoryEntry>>,
+    has_prober: bool,
     addresses: HashMap<String, SocketAddr>,
     wishes: Vec<EjectionWish>,
+    asked: MonotonicTime,
 }
 
 impl KeptCell {
@@ -79,11 +86,14 @@
             tickets: Slab::new(),
             config_version: 0,
             listed: Vec::new(),
+            directory: Arc::default(),
+            has_prober: false,
             addresses: HashMap::new(),
             wishes: Vec::new(),
+            asked: now,
         };
         cell.refresh(context, now);
-        cell.keeper.set_warm(warm.iter().map(String::as_str));
+        cell.set_warm(warm);
         Some(cell)
     }
 
@@ -95,13 +105,27 @@
         &self.zone
     }
 
+    /// Differs from that of any other keeper.
+    pub(super) fn salt(&self) -> u64 {
+        self.salt
+    }
+
     pub(super) fn right(&self) -> CellRight {
         self.right
     }
 
-    /// Whether permits are out or askers wait.
-    pub(super) fn is_busy(&self) -> bool {
-        self.keeper.running() > 0 || self.keeper.waiting() > 0
+    /// Whether no permit is out, and nobody has asked for some time.
+    pub(super) fn is_idle(&self, now: MonotonicTime) -> bool {
+        let is_busy = self.keeper.running() > 0 || self.keeper.waiting() > 0;
+        !is_busy && now.since(self.asked) > IDLE_AFTER
+    }
+
+    /// Whether the cell is held and nobody probes its servers yet; the asker
+    /// does from now on.
+    pub(super) fn claim_probes(&mut self) -> bool {
+        let is_claimed = matches!(self.right, CellRight::Held(_)) && !self.has_prober;
+        self.has_prober |= is_claimed;
+        is_claimed
     }
 
     /// The servers that are known to be warm.
@@ -115,6 +139,11 @@
         pairs.map(|(name, address)| (name.as_str(), *address))
     }
 
+    /// Takes over which servers the keeper knows as warm.
+    pub(super) fn set_warm(&mut self, warm: &[String]) {
+        self.keeper.set_warm(warm.iter().map(String::as_str));
+    }
+
     /// Turns a stopgap into the holder, whose full right begins once the
     /// permits of the holder before have run out.
     pub(super) fn promote(&mut self, now: MonotonicTime, epoch: u64) {
@@ -142,7 +171,10 @@
             self.keeper.set_zone(now, state, ramp);
             self.apply(now, KeeperEvent::Tick);
         }
-        let servers = context.servers.load();
+        let servers = context.servers.load_full();
+        if Arc::ptr_eq(&servers, &self.directory) {
+            return;
+        }
         let own =
             |entry: &&DirectoryEntry| entry.service == self.service && entry.zone == self.zone;
         let listed: Vec<ListedServer> = servers.iter().filter(own).map(list).collect();
@@ -151,6 +183,7 @@
             .filter(own)
             .map(|entry| (entry.name.clone(), entry.address))
             .collect();
+        self.directory = servers;
         if listed != self.listed {
             self.listed = listed.clone();
             self.apply(now, KeeperEvent::Servers(listed));
@@ -164,6 +197,7 @@
         ask: SlotAsk,
         reply: oneshot::Sender<CellAnswer>,
     ) {
+        self.asked = now;
         let ticket = self.tickets.insert(reply) as u64;
         self.apply(now, KeeperEvent::Ask(SlotAsk { ticket, ..ask }));
     }
--- a/crates/mangostep-daemon/src/slots/keeping.rs
+++ b/crates/mangostep-daemon/src/slots/keeping.rs
@@ -218,7 +218,6 @@
             if let Some(cell) = cell {
                 cells.insert(resource.clone(), cell);
                 self.record_keeping(resource, right);
-                self.spawn_probes(resource.clone());
             }
         }
     }
@@ -229,6 +228,9 @@
         for (resource, cell) in self.cells.borrow_mut().iter_mut() {
             cell.refresh(&self.context, now);
             cell.tick(now);
+            if cell.claim_probes() {
+                self.spawn_probes(resource.clone(), cell.salt());
+            }
             if self.is_over(now, resource, cell) {
                 over.push(resource.clone());
             }
@@ -260,7 +262,7 @@
             }
             CellRight::Stopgap => {
                 let is_held = self.context.held_epoch(resource, now).is_some();
-                !is_held && !cell.is_busy() && !self.context.standing.holds(now)
+                !is_held && cell.is_idle(now)
             }
         }
     }
@@ -328,7 +330,7 @@
 
     /// Takes the news of a cell's keeper; false when they are of no use.
     pub(super) fn take_news(&self, resource: &str, epoch: u64, state: &[u8]) -> bool {
-        let Ok(news) = serde_json::from_slice(state) else {
+        let Ok(news) = serde_json::from_slice::<WarmNews>(state) else {
             return false;
         };
         let mut heard = self.heard.borrow_mut();
@@ -336,6 +338,11 @@
             return false;
         }
         let at = self.context.clock.now();
+        if let Some(cell) = self.cells.borrow_mut().get_mut(resource)
+            && cell.right() == CellRight::Stopgap
+        {
+            cell.set_warm(&news.warm);
+        }
         heard.insert(resource.to_owned(), NewsRecord { epoch, at, news });
         true
     }
--- a/crates/mangostep-daemon/src/slots/probing.rs
+++ b/crates/mangostep-daemon/src/slots/probing.rs
@@ -5,10 +5,7 @@
     mangostep_policy::{KeeperEvent, OutcomeKind, ProbeResult},
 };
 
-use crate::{
-    prelude::*,
-    slots::{SlotDuty, cell::CellRight},
-};
+use crate::{prelude::*, slots::SlotDuty};
 
 /// Longest time that one probe may take.
 const PROBE_LIMIT: Duration = Duration::from_secs(1);
@@ -22,13 +19,13 @@
 
 impl SlotDuty {
     /// Probes the servers of a cell for as long as this host holds it.
-    pub(super) fn spawn_probes(self: &Rc<Self>, resource: String) {
-        tokio::task::spawn_local(self.clone().probe_cell(resource));
+    pub(super) fn spawn_probes(self: &Rc<Self>, resource: String, salt: u64) {
+        tokio::task::spawn_local(self.clone().probe_cell(resource, salt));
     }
 
-    async fn probe_cell(self: Rc<Self>, resource: String) {
+    async fn probe_cell(self: Rc<Self>, resource: String, salt: u64) {
         loop {
-            let Some(plan) = self.probe_plan(&resource) else {
+            let Some(plan) = self.probe_plan(&resource, salt) else {
                 return;
             };
             for (server, address) in plan.servers {
@@ -44,12 +41,10 @@
         }
     }
 
-    fn probe_plan(&self, resource: &str) -> Option<ProbePlan> {
+    fn probe_plan(&self, resource: &str, salt: u64) -> Option<ProbePlan> {
         let cells = self.cells.borrow();
-        let cell = cells.get(resource)?;
-        let CellRight::Held(_) = cell.right() else {
-            return None;
-        };
+        // A cell that was opened anew has a prober of its own.
+        let cell = cells.get(resource).filter(|cell| cell.salt() == salt)?;
         let snapshot = self.context.snapshot.load();
         let service = snapshot.service(cell.service())?;
         let servers = cell.addresses();
--- /dev/null
+++ b/crates/standins/tests/slots.rs
@@ -0,0 +1,440 @@
+//! Slots of backend servers while keepers, servers and availability zones
+//! fail, leave and return; every count is the servers' own.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use {
+    mangostep_objects::{ObjectSet, ZoneState},
+    standins::{
+        backend::{BackendControl, BackendSettings, RunRecord, wall_us},
+        fleet::{
+            Caller, CallerAnswer, FleetSettings, NORTH_KEY, ProcessSignal, ServerGroup,
+            StartObjects, TestFleet, basic_objects, wait_until,
+        },
+        platform::DirectoryChange,
+    },
+    tokio::task::JoinHandle,
+};
+
+type TestResult = Result<(), Box<dyn std::error::Error>>;
+
+/// How soon a server or zone that leaves gets no more new work.
+const LEAVE_LIMIT: Duration = Duration::from_secs(5);
+
+/// How long a take-over and the first grants after it may take in a test.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(40);
+
+/// One request of a [`SteadyLoad`].
+struct Operation {
+    id: String,
+    ended: Instant,
+    answer: Result<CallerAnswer, reqwest::Error>,
+}
+
+/// Callers that send one request after the other until they are stopped.
+struct SteadyLoad {
+    stopped: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Vec<Operation>>>,
+}
+
+impl SteadyLoad {
+    fn open(callers: Vec<Caller>, method: reqwest::Method, path: &'static str) -> Self {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let run = |(number, caller): (usize, Caller)| {
+            let stopped = stopped.clone();
+            let method = method.clone();
+            tokio::spawn(async move {
+                let mut operations = Vec::new();
+                while !stopped.load(Ordering::Acquire) {
+                    let id = format!("{path}-{number}-{}", operations.len());
+                    let request = caller.request(method.clone(), path);
+                    let answer = caller.send(request.header("x-operation", &id)).await;
+                    let failed = !matches!(&answer, Ok(answer) if answer.status == 200);
+                    let ended = Instant::now();
+                    operations.push(Operation { id, ended, answer });
+                    if failed {
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
+                }
+                operations
+            })
+        };
+        SteadyLoad {
+            callers: callers.into_iter().enumerate().map(run).collect(),
+            stopped,
+        }
+    }
+
+    async fn close(self) -> Result<Vec<Operation>, tokio::task::JoinError> {
+        self.stopped.store(true, Ordering::Release);
+        let mut all = Vec::new();
+        for caller in self.callers {
+            all.extend(caller.await?);
+        }
+        Ok(all)
+    }
+}
+
+fn served(operation: &Operation) -> bool {
+    matches!(&operation.answer, Ok(answer) if answer.status == 200)
+}
+
+/// How the operations that were not served ended, counted by reason.
+fn failures(operations: &[Operation]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for operation in operations.iter().filter(|operation| !served(operation)) {
+        let reason = match &operation.answer {
+            Ok(answer) => format!("{} {:?} {:?}", answer.status, answer.outcome, answer.reason),
+            Err(err) => err.to_string(),
+        };
+        *counts.entry(reason).or_default() += 1;
+    }
+    counts
+}
+
+fn longest_gap(operations: &[Operation]) -> Duration {
+    let mut ends: Vec<Instant> = operations
+        .iter()
+        .filter(|operation| served(operation))
+        .map(|operation| operation.ended)
+        .collect();
+    ends.sort();
+    let gaps = ends.windows(2).map(|pair| pair[1] - pair[0]);
+    gaps.max().unwrap_or(Duration::MAX)
+}
+
+/// Checks that each operation ran as often as its caller was told.
+fn check_outcomes(operations: &[Operation], records: &[RunRecord]) {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for record in records {
+        *runs.entry(&record.operation).or_default() += 1;
+    }
+    for operation in operations {
+        let ran = runs.get(operation.id.as_str()).copied().unwrap_or(0);
+        let answer = operation.answer.as_ref().expect("the entry host lives");
+        match (answer.status, answer.outcome.as_deref()) {
+            (200, None) => assert_eq!(ran, 1, "{}", operation.id),
+            (_, Some("not-run")) => assert_eq!(ran, 0, "{}", operation.id),
+            other => panic!(
+                "{} has no outcome: {other:?} {:?}",
+                operation.id, answer.reason
+            ),
+        }
+    }
+}
+
+/// The hosts that said last that they hold a cell, by the largest epoch.
+async fn keeper_of(fleet: &TestFleet, cell: &str) -> Option<usize> {
+    let mut best = None;
+    for (index, host) in fleet.hosts.iter().enumerate() {
+        let url = format!(
+            "http://{}/events?since=0&most=8192",
+            host.addresses().operator
+        );
+        let client = reqwest::Client::new();
+        let asked = client.get(url).timeout(Duration::from_millis(500)).send();
+        let Ok(answer) = asked.await else {
+            continue;
+        };
+        let page: serde_json::Value = answer.json().await.ok()?;
+        for event in page["events"].as_array()? {
+            let fields = &event["fields"];
+            let is_held = event["name"] == "cell-kept" && fields["right"] == "held";
+            if is_held && fields["cell"] == cell {
+                let epoch: u64 = fields["epoch"].as_str()?.parse().ok()?;
+                best = best.max(Some((epoch, index)));
+            }
+        }
+    }
+    best.map(|(_, index)| index)
+}
+
+/// Waits until the keeper of a cell has stayed the same for some time, since
+/// cells move to better hosts after the start.
+async fn settled_keeper(
+    fleet: &TestFleet,
+    cell: &str,
+) -> Result<usize, Box<dyn std::error::Error>> {
+    const SETTLED: Duration = Duration::from_secs(8);
+    let end = Instant::now() + TAKEOVER_LIMIT;
+    let mut since = Instant::now();
+    let mut known = None;
+    while Instant::now() < end {
+        let keeper = keeper_of(fleet, cell).await;
+        if keeper != known {
+            known = keeper;
+            since = Instant::now();
+        }
+        if let Some(keeper) = known
+            && since.elapsed() > SETTLED
+        {
+            return Ok(keeper);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    Err(format!("no keeper of {cell}").into())
+}
+
+fn single_zone(objects: ObjectSet, backend: BackendSettings, per_zone: usize) -> FleetSettings {
+    FleetSettings {
+        zones: vec!["a".to_owned()],
+        hosts_per_zone: 3,
+        objects: StartObjects::Set(objects),
+        servers: vec![ServerGroup {
+            per_zone,
+            backend,
+            ..Default::default()
+        }],
+        ..Default::default()
+    }
+}
+
+fn callers(
+    fleet: &TestFleet,
+    hosts: &[usize],
+    each: usize,
+) -> Result<Vec<Caller>, Box<dyn std::error::Error>> {
+    let mut all = Vec::new();
+    for host in hosts {
+        for _ in 0..each {
+            all.push(fleet.caller(*host, NORTH_KEY)?);
+        }
+    }
+    Ok(all)
+}
+
+#[tokio::test]
+async fn a_cold_server_gets_what_it_bears_also_across_a_keeper_kill() -> TestResult {
+    let zones = ["a".to_owned()];
+    let mut objects = basic_objects(&zones);
+    objects.services[0].slots = 4;
+    objects.services[0].cold_slots = 1;
+    objects.services[0].cold_ramp = Duration::from_secs(600);
+    let backend = BackendSettings {
+        slots: 4,
+        cold_slots: 1,
+        cold: true,
+        warm_ms: 600_000,
+        work_ms: 30,
+        ..Default::default()
+    };
+    let mut fleet = TestFleet::open(single_zone(objects, backend, 2)).await?;
+    let keeper = settled_keeper(&fleet, "cell/ledger/a").await?;
+    let others: Vec<usize> = (0..3).filter(|host| *host != keeper).collect();
+    let load = SteadyLoad::open(
+        callers(&fleet, &others, 6)?,
+        reqwest::Method::GET,
+        "/lookup/1",
+    );
+    let before = fleet.records().await?.len();
+    wait_until("work runs", TAKEOVER_LIMIT, || async {
+        fleet
+            .records()
+            .await
+            .is_ok_and(|records| records.len() > before + 50)
+    })
+    .await?;
+    fleet.hosts[keeper].signal(ProcessSignal::Kill);
+    let killed_us = wall_us();
+    wait_until("work runs after the kill", TAKEOVER_LIMIT, || async {
+        let records = fleet.records().await.unwrap_or_default();
+        let later = records
+            .iter()
+            .filter(|run| run.start_us > killed_us + 3_500_000);
+        later.count() > 50
+    })
+    .await?;
+    load.close().await?;
+    for server in &fleet.servers {
+        let summary = server.summary().await?;
+        assert_eq!(
+            (summary.cold_concurrent_max, summary.falls),
+            (1, 0),
+            "{}",
+            server.name()
+        );
+    }
+    fleet.close().await;
+    Ok(())
+}
+
+/// Runs bookings and lookups over the hosts that do not keep the cell while
+/// the keeper gets `signal`.
+async fn lose_keeper(signal: ProcessSignal) -> TestResult {
+    let zones = ["a".to_owned()];
+    let objects = basic_objects(&zones);
+    let deadline = objects.routes[0].deadline;
+    let backend = BackendSettings {
+        slots: 8,
+        cold_slots: 4,
+        work_ms: 20,
+        ..Default::default()
+    };
+    let mut fleet = TestFleet::open(single_zone(objects, backend, 4)).await?;
+    let keeper = settled_keeper(&fleet, "cell/ledger/a").await?;
+    let others: Vec<usize> = (0..3).filter(|host| *host != keeper).collect();
+    let lookups = SteadyLoad::open(
+        callers(&fleet, &others, 6)?,
+        reqwest::Method::GET,
+        "/lookup/1",
+    );
+    let bookings = SteadyLoad::open(
+        callers(&fleet, &others, 3)?,
+        reqwest::Method::POST,
+        "/book/1",
+    );
+    // Long enough for the servers to be warm, and known as such.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.hosts[keeper].signal(signal);
+    wait_until("another host holds the cell", TAKEOVER_LIMIT, || async {
+        keeper_of(&fleet, "cell/ledger/a")
+            .await
+            .is_some_and(|now| now != keeper)
+    })
+    .await?;
+    if matches!(signal, ProcessSignal::Stop) {
+        fleet.hosts[keeper].signal(ProcessSignal::Continue);
+    }
+    tokio::time::sleep(deadline).await;
+    let lookups = lookups.close().await?;
+    let bookings = bookings.close().await?;
+    let records = fleet.records().await?;
+    check_outcomes(&bookings, &records);
+    assert!(bookings.iter().filter(|o| served(o)).count() > 100);
+    let gap = longest_gap(&lookups);
+    assert!(
+        gap < deadline,
+        "no lookup served for {gap:?}: {:?}",
+        failures(&lookups)
+    );
+    fleet.close().await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_killed_keeper_costs_no_outcome() -> TestResult {
+    lose_keeper(ProcessSignal::Kill).await
+}
+
+#[tokio::test]
+async fn a_frozen_keeper_costs_no_outcome() -> TestResult {
+    lose_keeper(ProcessSignal::Stop).await
+}
+
+#[tokio::test]
+async fn a_server_that_leaves_gets_no_new_work() -> TestResult {
+    let zones = ["a".to_owned()];
+    let objects = basic_objects(&zones);
+    let backend = BackendSettings {
+        slots: 8,
+        cold_slots: 4,
+        work_ms: 20,
+        ..Default::default()
+    };
+    let fleet = TestFleet::open(single_zone(objects, backend, 3)).await?;
+    let load = SteadyLoad::open(
+        callers(&fleet, &[0, 1, 2], 3)?,
+        reqwest::Method::GET,
+        "/lookup/1",
+    );
+    let ran = |index: usize| {
+        let server = &fleet.servers[index];
+        async move { server.summary().await.map_or(0, |summary| summary.ran) }
+    };
+    wait_until("all servers work", TAKEOVER_LIMIT, || async {
+        ran(0).await > 20 && ran(1).await > 20 && ran(2).await > 20
+    })
+    .await?;
+    let leaving = &fleet.servers[0];
+    let change = DirectoryChange::MarkLeaving {
+        service: leaving.service().to_owned(),
+        name: leaving.name().to_owned(),
+    };
+    fleet.platform.change_directory(vec![change]).await?;
+    let draining = BackendControl {
+        draining: Some(true),
+        ..Default::default()
+    };
+    fleet.servers[1].control(&draining).await?;
+    let told_us = wall_us();
+    tokio::time::sleep(LEAVE_LIMIT).await;
+    let refused = fleet.servers[1].summary().await?.refused;
+    let before = ran(2).await;
+    wait_until("the last server works on", TAKEOVER_LIMIT, || async {
+        ran(2).await > before + 100
+    })
+    .await?;
+    let limit_us = told_us + LEAVE_LIMIT.as_micros() as u64;
+    let late = fleet.servers[0].records().await?;
+    assert_eq!(late.iter().filter(|run| run.start_us > limit_us).count(), 0);
+    assert_eq!(fleet.servers[1].summary().await?.refused, refused);
+    let operations = load.close().await?;
+    assert_eq!(failures(&operations), BTreeMap::new());
+    fleet.close().await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_zone_goes_out_and_comes_back() -> TestResult {
+    let zones = ["a", "b", "c"].map(str::to_owned);
+    let mut objects = basic_objects(&zones);
+    let settings = FleetSettings {
+        objects: StartObjects::Set(objects.clone()),
+        servers: vec![ServerGroup {
+            backend: BackendSettings {
+                slots: 8,
+                cold_slots: 4,
+                work_ms: 20,
+                ..Default::default()
+            },
+            ..Default::default()
+        }],
+        ..Default::default()
+    };
+    let fleet = TestFleet::open(settings).await?;
+    let zone_runs = || async {
+        let mut runs = Vec::new();
+        for server in fleet.servers.iter().filter(|server| server.zone() == "a") {
+            runs.extend(server.records().await.unwrap_or_default());
+        }
+        runs
+    };
+    let load = SteadyLoad::open(
+        callers(&fleet, &[0, 1, 2], 3)?,
+        reqwest::Method::GET,
+        "/lookup/1",
+    );
+    wait_until("the zone works", TAKEOVER_LIMIT, || async {
+        zone_runs().await.len() > 50
+    })
+    .await?;
+    objects.zones[0].state = ZoneState::Out;
+    fleet.publish(&objects).await?;
+    let out_us = wall_us();
+    tokio::time::sleep(LEAVE_LIMIT * 2).await;
+    let runs = zone_runs().await;
+    let last_us = runs.iter().map(|run| run.start_us).max().unwrap_or(0);
+    let limit_us = out_us + LEAVE_LIMIT.as_micros() as u64;
+    assert!(
+        last_us < limit_us,
+        "work {} us after",
+        last_us.saturating_sub(out_us)
+    );
+    objects.zones[0].state = ZoneState::In;
+    fleet.publish(&objects).await?;
+    wait_until("the zone works again", TAKEOVER_LIMIT, || async {
+        zone_runs().await.len() > runs.len() + 50
+    })
+    .await?;
+    let operations = load.close().await?;
+    assert_eq!(failures(&operations), BTreeMap::new());
+    fleet.close().await;
+    Ok(())
+}
