Carry fleet-wide limits out between the hosts

Cause: the daemon admitted every request of a workspace that has a limit. Change: LimitDuty is home and asker; homes follow who holds what, are checked with held_epoch right before giving, start from zero under a new epoch and are handed over to the next holder; open routes that name a limit are counted under a name of their own; lookups that come with a key name the homes first; the setting record_tokens writes every token taken into the time line. Ruled out: asking with the epoch only, since one host may be two homes of a shard; the schema names the home's index too.

--- a/crates/mangostep-daemon/src/front/handler.rs
+++ b/crates/mangostep-daemon/src/front/handler.rs
@@ -1,7 +1,7 @@
 use std::sync::atomic::Ordering;
 
 use {
-    mangostep_objects::{NormalPath, RouteAccess, Snapshot},
+    mangostep_objects::{NormalPath, Route, RouteAccess, Snapshot},
     mangostep_telemetry::HostCounters,
     rocket::{
         Data, Request, Response,
@@ -18,6 +18,7 @@
         lookup::answer_lookup,
         running::RunningGuard,
     },
+    limits::LimitName,
     peer::PeerRing,
     prelude::*,
     refusal::Refusal,
@@ -82,8 +83,12 @@
         let deadline = arrival + target.route.deadline;
         let declared = declared_length(request)?;
         let body = CallerBody::take(data, declared, &self.context).await?;
-        if let Some(workspace) = workspace {
-            self.peer.admit(workspace, deadline).await?;
+        let counted = match workspace {
+            Some(workspace) => Some(LimitName::of_workspace(workspace)),
+            None => open_limit(target.route),
+        };
+        if let Some(name) = counted {
+            self.peer.admit(name, deadline).await?;
         }
         let request_id = format!(
             "{:016x}{:016x}",
@@ -164,6 +169,12 @@
     }
 }
 
+/// What the limit of an open route is counted for, when it names one.
+fn open_limit(route: &Route) -> Option<LimitName> {
+    let is_limited = route.access == RouteAccess::Open && route.limit.is_some();
+    is_limited.then(|| LimitName::of_route(&route.name))
+}
+
 /// The length of a request's body, when the caller declares it.
 fn declared_length(request: &Request<'_>) -> Result<Option<u64>, Refusal> {
     if request.headers().contains("transfer-encoding") {
--- a/crates/mangostep-daemon/src/front/lookup.rs
+++ b/crates/mangostep-daemon/src/front/lookup.rs
@@ -8,7 +8,7 @@
     serde::Serialize,
 };
 
-use crate::prelude::*;
+use crate::{front::headers::presented_key, limits::homes_of, prelude::*};
 
 /// The answer to `GET /_mangostep/entry`.
 #[derive(Debug, Serialize)]
@@ -21,13 +21,19 @@
 
 /// Names the hosts that a caller should use.
 ///
-/// Hosts of the asked host's own availability zone come first; hosts that
-/// leave or whose lease lapsed are left out.
-pub(crate) fn answer_lookup(context: &HostContext, _request: &Request<'_>) -> Response<'static> {
+/// The homes of the limit of a presented key's workspace come first, so that
+/// tokens are taken without a message; then hosts of the asked host's own
+/// availability zone. Hosts that leave or whose lease lapsed are left out.
+pub(crate) fn answer_lookup(context: &HostContext, request: &Request<'_>) -> Response<'static> {
     let fleet = context.fleet.load();
     let zone = &context.settings.zone;
     let mut hosts: Vec<_> = fleet.hosts.iter().filter(|host| !host.leaving).collect();
-    hosts.sort_by_key(|host| (host.zone != *zone, host.name != context.settings.host));
+    let homes = homes_for(context, request);
+    hosts.sort_by_key(|host| {
+        let is_home = homes.contains(&host.name);
+        let is_near = host.zone == *zone;
+        (!is_home, !is_near, host.name != context.settings.host)
+    });
     let mut addresses: Vec<String> = hosts.iter().map(|host| host.front.to_string()).collect();
     if addresses.is_empty()
         && !context.leaving.load(Ordering::Acquire)
@@ -44,3 +50,10 @@
         .sized_body(body.len(), std::io::Cursor::new(body))
         .finalize()
 }
+
+/// The homes of the workspace whose key came with a look-up.
+fn homes_for(context: &HostContext, request: &Request<'_>) -> Vec<String> {
+    let snapshot = context.snapshot.load();
+    let workspace = presented_key(request).and_then(|key| snapshot.workspace_of(key.as_bytes()));
+    workspace.map_or_else(Vec::new, |workspace| homes_of(context, workspace))
+}
--- a/crates/mangostep-daemon/src/peer/gate.rs
+++ b/crates/mangostep-daemon/src/peer/gate.rs
@@ -4,6 +4,7 @@
     capnp::capability::FromClientHook,
     capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::AsyncReadExt,
+    mangostep_policy::HomeKey,
     mangostep_wire::{
         PROTOCOL_VERSION,
         peer_capnp::{gate, hello, peer_link},
@@ -183,11 +184,23 @@
         self.duties.slots.serve_ejection(&params, results)
     }
 
+    async fn ask_tokens(
+        self: Rc<Self>,
+        params: peer_link::AskTokensParams,
+        results: peer_link::AskTokensResults,
+    ) -> Result<(), capnp::Error> {
+        self.duties.limits.serve_ask(params, results).await
+    }
+
     async fn hand_over(
         self: Rc<Self>,
         params: peer_link::HandOverParams,
         results: peer_link::HandOverResults,
     ) -> Result<(), capnp::Error> {
+        let resource = params.get()?.get_resource()?.to_str()?;
+        if HomeKey::parse(resource).is_some() {
+            return self.duties.limits.serve_hand_over(&params, results);
+        }
         self.duties.slots.serve_news(&params, results)
     }
 }
--- a/crates/mangostep-daemon/src/peer/mod.rs
+++ b/crates/mangostep-daemon/src/peer/mod.rs
@@ -25,7 +25,7 @@
 pub(crate) struct PeerDuties {
     pub(crate) context: Arc<HostContext>,
     pub(crate) links: Rc<PeerLinks>,
-    pub(crate) limits: LimitDuty,
+    pub(crate) limits: Rc<LimitDuty>,
     pub(crate) slots: Rc<SlotDuty>,
     pub(crate) relay: Rc<RelayDuty>,
     pub(crate) vouching: Rc<VouchDuty>,
@@ -41,7 +41,7 @@
             links: links.clone(),
             relay,
             vouching: Rc::new(vouching),
-            limits: LimitDuty::new(context.clone()),
+            limits: LimitDuty::new(context.clone(), links.clone()),
             slots: SlotDuty::new(context.clone(), links),
         })
     }
@@ -84,6 +84,7 @@
             tokio::task::spawn_local(duties.vouching.clone().run());
             tokio::task::spawn_local(duties.relay.clone().run());
             tokio::task::spawn_local(duties.slots.clone().run());
+            tokio::task::spawn_local(duties.limits.clone().run());
             tokio::task::spawn_local(serve_asks(duties, asks));
             // An error means that the sender is gone, which is a stop too.
             let _ = stopped.wait_for(|phase| *phase == StopPhase::Stopped).await;
@@ -100,14 +101,14 @@
         match ask {
             PeerAsk::Release(report) => duties.slots.release(report),
             PeerAsk::Admit {
-                workspace,
+                name,
                 deadline,
                 reply,
             } => {
                 let duties = duties.clone();
                 tokio::task::spawn_local(async move {
                     // The asking side may have given up.
-                    let _ = reply.send(duties.limits.admit(&workspace, deadline).await);
+                    let _ = reply.send(duties.limits.admit(name, deadline).await);
                 });
             }
             PeerAsk::OpenPermit { request, reply } => {
--- a/crates/mangostep-daemon/src/peer/ring.rs
+++ b/crates/mangostep-daemon/src/peer/ring.rs
@@ -1,6 +1,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
+    limits::LimitName,
     prelude::*,
     refusal::Refusal,
     slots::{OpenPermit, SlotGrant, SlotReport, SlotRequest},
@@ -9,7 +10,7 @@
 /// What the front thread asks of the peer thread.
 pub(crate) enum PeerAsk {
     Admit {
-        workspace: String,
+        name: LimitName,
         deadline: MonotonicTime,
         reply: oneshot::Sender<Result<(), Refusal>>,
     },
@@ -38,15 +39,15 @@
         &self.context
     }
 
-    /// Takes one token of a workspace.
+    /// Takes one token of a limit.
     pub(crate) async fn admit(
         &self,
-        workspace: &str,
+        name: LimitName,
         deadline: MonotonicTime,
     ) -> Result<(), Refusal> {
         let (reply, answer) = oneshot::channel();
         let ask = PeerAsk::Admit {
-            workspace: workspace.to_owned(),
+            name,
             deadline,
             reply,
         };
--- a/crates/mangostep-daemon/src/settings.rs
+++ b/crates/mangostep-daemon/src/settings.rs
@@ -49,6 +49,8 @@
     /// Largest body that is held back until it is whole, in bytes, so that
     /// its request can be sent again.
     pub replay_bytes: u64,
+    /// Whether every token taken is recorded in the time line, for tests.
+    pub record_tokens: bool,
     /// How long callers keep the answer of a look-up.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lookup_keep_ms")]
@@ -84,6 +86,7 @@
             body_bytes: 256 << 20,
             header_bytes: 32 << 10,
             replay_bytes: 64 << 10,
+            record_tokens: false,
             lookup_keep: Duration::from_secs(3),
             stop_grace: Duration::from_secs(30),
             lease: LeaseTimes::default(),
--- a/crates/mangostep-objects/src/snapshot.rs
+++ b/crates/mangostep-objects/src/snapshot.rs
@@ -15,6 +15,7 @@
     routes: RouteIndex,
     keys: HashMap<[u8; 32], KeyOwner>,
     limits: HashMap<String, Limit>,
+    route_limits: HashMap<String, Limit>,
     services: HashMap<String, Service>,
     zones: HashMap<String, AvailabilityZone>,
 }
@@ -51,6 +52,15 @@
                 Some((workspace.name.clone(), (*limit).clone()))
             })
             .collect();
+        let route_limits = set
+            .routes
+            .iter()
+            .filter(|route| route.access == RouteAccess::Open)
+            .filter_map(|route| {
+                let limit = limit_of.get(route.limit.as_deref()?)?;
+                Some((route.name.clone(), (*limit).clone()))
+            })
+            .collect();
         let keys = set
             .keys
             .iter()
@@ -77,6 +87,7 @@
             routes,
             keys,
             limits,
+            route_limits,
             services,
             zones,
         }
@@ -129,6 +140,18 @@
             .map(|(name, limit)| (name.as_str(), limit))
     }
 
+    /// The limit that an open route names.
+    pub fn limit_of_route(&self, route: &str) -> Option<&Limit> {
+        self.route_limits.get(route)
+    }
+
+    /// The names of all open routes that name a limit, with their limits.
+    pub fn route_limits(&self) -> impl Iterator<Item = (&str, &Limit)> {
+        self.route_limits
+            .iter()
+            .map(|(name, limit)| (name.as_str(), limit))
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/crates/mangostep-wire/schema/peer.capnp
+++ b/crates/mangostep-wire/schema/peer.capnp
@@ -22,12 +22,15 @@
 struct TokenAsk {
   workspace @0 :Text;
   tokens @1 :UInt32;        # one for each request that waits now
+  last @2 :Bool;            # all other homes were asked before
 }
 
 struct TokenGrant {
   granted @0 :UInt32;
   retryAfterUs @1 :UInt64;  # when granted is too small: when one token is back
   fractionMicro @2 :UInt64; # millionths of a token deducted and given away
+  fractionKeepsUs @3 :UInt64;     # the fraction loses nothing for this time
+  fractionShrinks @4 :UInt64;     # then this many millionths a second
 }
 
 enum TokenMode {
@@ -122,7 +125,7 @@
 
 interface PeerLink {
   # Every call carries the caller's Lamport stamp and answers with one's own.
-  askTokens @0 (stamp :UInt64, shard :UInt16, epoch :UInt64, mode :TokenMode, asks :List(TokenAsk))
+  askTokens @0 (stamp :UInt64, shard :UInt16, epoch :UInt64, mode :TokenMode, asks :List(TokenAsk), index :UInt8)
             -> (stamp :UInt64, home :Bool, grants :List(TokenGrant));
   askSlot @1 (stamp :UInt64, ask :SlotAsk) -> (stamp :UInt64, answer :SlotAnswer);
   releaseSlots @2 (stamp :UInt64, releases :List(SlotRelease)) -> (stamp :UInt64);
--- a/crates/mangostep-wire/src/peer_capnp.rs
+++ b/crates/mangostep-wire/src/peer_capnp.rs
@@ -1472,6 +1472,10 @@
         pub fn get_tokens(self) -> u32 {
             self.reader.get_data_field::<u32>(0)
         }
+        #[inline]
+        pub fn get_last(self) -> bool {
+            self.reader.get_bool_field(32)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1598,6 +1602,14 @@
         pub fn set_tokens(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(0, value);
         }
+        #[inline]
+        pub fn get_last(self) -> bool {
+            self.builder.get_bool_field(32)
+        }
+        #[inline]
+        pub fn set_last(&mut self, value: bool) {
+            self.builder.set_bool_field(32, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1612,7 +1624,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(56, 253, 213, 221, 249, 243, 31, 154),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -1622,28 +1634,35 @@
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 84, 111, 107, 101, 110),
             ::capnp::word(65, 115, 107, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1661,11 +1680,20 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1684,9 +1712,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
         pub(crate) const TYPE_ID: u64 = 0x9a1f_f3f9_ddd5_fd38;
     }
 }
@@ -1806,6 +1834,14 @@
         pub fn get_fraction_micro(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_fraction_keeps_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_fraction_shrinks(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1814,7 +1850,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
+                data: 5,
                 pointers: 0,
             };
     }
@@ -1921,6 +1957,22 @@
         pub fn set_fraction_micro(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_fraction_keeps_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_fraction_keeps_us(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_fraction_shrinks(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_fraction_shrinks(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1935,45 +1987,59 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(251, 15, 93, 35, 129, 246, 60, 228),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(27, 61, 141, 64, 141, 98, 190, 233),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 84, 111, 107, 101, 110),
             ::capnp::word(71, 114, 97, 110, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(153, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2000,12 +2066,32 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 97, 99, 116, 105, 111, 110),
+            ::capnp::word(75, 101, 101, 112, 115, 85, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 97, 99, 116, 105, 111, 110),
+            ::capnp::word(83, 104, 114, 105, 110, 107, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2024,9 +2110,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 4, 0, 1];
         pub(crate) const TYPE_ID: u64 = 0xe43c_f681_235d_0ffb;
     }
 }
@@ -6092,6 +6178,10 @@
             pub fn has_asks(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_index(self) -> u8 {
+                self.reader.get_data_field::<u8>(12)
+            }
         }
 
         pub struct Builder<'a> {
@@ -6260,6 +6350,14 @@
             pub fn has_asks(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_index(self) -> u8 {
+                self.builder.get_data_field::<u8>(12)
+            }
+            #[inline]
+            pub fn set_index(&mut self, value: u8) {
+                self.builder.set_data_field::<u8>(12, value);
+            }
         }
 
         pub struct Pipeline {
@@ -6274,7 +6372,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(125, 91, 44, 233, 101, 180, 20, 178),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
@@ -6284,7 +6382,7 @@
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -6292,42 +6390,49 @@
                 ::capnp::word(105, 110, 107, 46, 97, 115, 107, 84),
                 ::capnp::word(111, 107, 101, 110, 115, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 12, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6372,6 +6477,14 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 100, 101, 120, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6380,6 +6493,7 @@
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <crate::peer_capnp::TokenMode as ::capnp::introspect::Introspect>::introspect(),
                     4 => <::capnp::struct_list::Owned<crate::peer_capnp::token_ask::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6398,9 +6512,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 3, 1, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 5, 3, 1, 0];
             pub(crate) const TYPE_ID: u64 = 0xb214_b465_e92c_5b7d;
         }
     }
