--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`fleet`]: [`fleet::TestFleet`] starts all of these and real entry hosts.
 //! * [`generate`]: object sets of any size.
 //! * [`load`]: callers that send at a steady rate.
+//! * [`tokens`]: when tokens of limits were taken.
 //! * [`experiments`]: measurements against stated bounds.
 //! * [`workload`]: drawn outcomes of a cell's requests, without processes.
 
@@ -26,6 +27,7 @@
 pub mod load;
 pub mod platform;
 pub mod proxy;
+pub mod tokens;
 pub mod workload;
 
 pub use crate::{error::StandinError, http::CutPlace, usage::ProcessUsage};
--- /dev/null
+++ b/crates/standins/src/tokens.rs
@@ -0,0 +1,170 @@
+//! Reads from the hosts' time lines when tokens were taken, and checks every
+//! window against a rate and a burst.
+
+use std::collections::HashMap;
+
+use {mangostep_telemetry::TimelineEvent, serde::Deserialize};
+
+use crate::{StandinError, fleet::HostHandle};
+
+const TOKEN_UNITS: i128 = 1_000_000_000_000;
+const MICROS_PER_S: i128 = 1_000_000;
+
+/// Gathers the tokens that the homes took for one limit.
+///
+/// The hosts must run with the setting `record_tokens`. They keep a bounded
+/// number of events, so read them often while tokens are taken.
+#[derive(Debug)]
+pub struct TokenLog {
+    name: String,
+    /// Last event read, by host and start of its process.
+    read: HashMap<(String, u64), u64>,
+    taken_us: Vec<u64>,
+    missed: u64,
+}
+
+/// A page of a host's time line.
+#[derive(Debug, Deserialize)]
+struct EventAnswer {
+    host: String,
+    incarnation: u64,
+    missed: u64,
+    events: Vec<TimelineEvent>,
+}
+
+impl TokenLog {
+    /// Makes an empty log for a workspace.
+    pub fn of_workspace(workspace: &str) -> Self {
+        TokenLog {
+            name: format!("w:{workspace}"),
+            read: HashMap::new(),
+            taken_us: Vec::new(),
+            missed: 0,
+        }
+    }
+
+    /// Reads what is new on a host.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not answer.
+    pub async fn read(
+        &mut self,
+        http: &reqwest::Client,
+        host: &HostHandle,
+    ) -> Result<(), StandinError> {
+        let operator = host.addresses().operator;
+        let failed = |err| StandinError::new("read events", host.name(), err);
+        // A restarted host counts its events from one again.
+        let since = self
+            .read
+            .iter()
+            .filter(|((name, _), _)| name == host.name())
+            .map(|(_, last)| *last)
+            .max()
+            .unwrap_or(0);
+        let mut page = fetch(http, operator, since).await.map_err(failed)?;
+        let key = (page.host.clone(), page.incarnation);
+        if since > 0 && !self.read.contains_key(&key) {
+            page = fetch(http, operator, 0).await.map_err(failed)?;
+            self.read.retain(|(name, _), _| name != host.name());
+        }
+        self.missed += page.missed;
+        for event in &page.events {
+            self.take(event);
+        }
+        let last = page.events.last().map_or(since, |event| event.sequence);
+        self.read.insert((page.host, page.incarnation), last);
+        Ok(())
+    }
+
+    fn take(&mut self, event: &TimelineEvent) {
+        let is_own = event.fields.get("name") == Some(&self.name);
+        if event.name != "tokens-taken" || !is_own {
+            return;
+        }
+        let number = |field| event.fields.get(field).and_then(|text| text.parse().ok());
+        if let (Some(at), Some(tokens)) = (number("at_us"), number("tokens")) {
+            for _ in 0..tokens {
+                self.taken_us.push(at);
+            }
+        }
+    }
+
+    /// Times of all tokens, in microseconds of the machine's own clock.
+    pub fn taken_us(&self) -> Vec<u64> {
+        let mut taken = self.taken_us.clone();
+        taken.sort_unstable();
+        taken
+    }
+
+    /// Events that were dropped before they were read.
+    pub fn missed(&self) -> u64 {
+        self.missed
+    }
+}
+
+async fn fetch(
+    http: &reqwest::Client,
+    operator: std::net::SocketAddr,
+    since: u64,
+) -> Result<EventAnswer, reqwest::Error> {
+    let url = format!("http://{operator}/events?since={since}");
+    let limit = std::time::Duration::from_secs(2);
+    http.get(url).timeout(limit).send().await?.json().await
+}
+
+/// A rate and a burst, counted in whole millionths.
+#[derive(Clone, Copy, Debug)]
+pub struct WindowLimit {
+    /// Tokens a second, in millionths.
+    pub rate_micro_per_s: u64,
+    /// Burst, in millionths.
+    pub burst_micro: u64,
+}
+
+impl WindowLimit {
+    /// The largest number of tokens by which any window goes over rate x
+    /// window + burst; not above zero when all windows hold.
+    ///
+    /// The times must be sorted. It is counted in whole units, exactly.
+    pub fn excess(&self, taken_us: &[u64]) -> f64 {
+        let rate = i128::from(self.rate_micro_per_s);
+        let burst = i128::from(self.burst_micro) * MICROS_PER_S;
+        let mut least = i128::MAX;
+        let mut most = i128::MIN;
+        for (place, at) in taken_us.iter().enumerate() {
+            let refilled = rate * i128::from(*at);
+            let before = place as i128 * TOKEN_UNITS - refilled;
+            least = least.min(before);
+            most = most.max(before + TOKEN_UNITS - least);
+        }
+        if taken_us.is_empty() {
+            return f64::NEG_INFINITY;
+        }
+        (most - burst) as f64 / TOKEN_UNITS as f64
+    }
+}
+
+/// The most tokens in any window of a length.
+///
+/// The times must be sorted.
+///
+/// # Example
+///
+/// ```
+/// use standins::tokens::most_in_window;
+///
+/// assert_eq!(most_in_window(&[0, 10, 20, 1_000_005], 1_000_000), 3);
+/// ```
+pub fn most_in_window(taken_us: &[u64], window_us: u64) -> usize {
+    let mut first = 0;
+    let mut most = 0;
+    for (last, at) in taken_us.iter().enumerate() {
+        while at - taken_us[first] > window_us {
+            first += 1;
+        }
+        most = most.max(last - first + 1);
+    }
+    most
+}
