Do not poll a request's body after it has ended

Cause: the pump of a streamed body (chunked, or longer than is held back) that ended before the head of the answer came was polled again with the answer's body: the front worker panicked and the caller's connection was closed without an answer, though the request had run. Change: a pump that has ended is dropped.

--- a/crates/mangostep-daemon/src/front/forward.rs
+++ b/crates/mangostep-daemon/src/front/forward.rs
@@ -189,6 +189,8 @@
         if let Some(running) = pump.as_mut() {
             running.await;
         }
+        // A pump that has ended must not be polled with the answer's body.
+        *pump = None;
         std::future::pending::<()>().await;
     };
     tokio::select! {
