--- a/crates/mangostep-daemon/src/front/headers.rs
+++ b/crates/mangostep-daemon/src/front/headers.rs
@@ -39,6 +39,21 @@
     keys.all(|other| other == first).then_some(first)
 }
 
+/// Every text of a request that may be a key, whether it is valid or not.
+fn key_texts<'r>(request: &'r Request<'_>) -> Vec<&'r str> {
+    let headers = request.headers();
+    let plain = headers.get(KEY_HEADER);
+    let tokens = ["authorization", "proxy-authorization"]
+        .into_iter()
+        .flat_map(|name| headers.get(name))
+        .filter_map(|value| value.split_once(' ').map(|(_, token)| token));
+    plain
+        .chain(tokens)
+        .map(str::trim)
+        .filter(|text| !text.is_empty())
+        .collect()
+}
+
 fn bearer_token(value: &str) -> Option<&str> {
     let (scheme, token) = value.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
@@ -63,14 +78,20 @@
 }
 
 /// The headers that a backend server gets.
+///
+/// No header that holds a presented key is among them, whatever its name.
 pub(crate) fn forwarded(request: &Request<'_>, own: ServerHeaders<'_>) -> HeaderMap {
     let listed = connection_options(request.headers().get("connection"));
+    let keys = key_texts(request);
     let mut map = HeaderMap::new();
     for header in request.headers().iter() {
         let name = header.name().as_str().to_ascii_lowercase();
         if is_dropped(&name, &listed) || name == "transfer-encoding" {
             continue;
         }
+        if keys.iter().any(|key| header.value().contains(key)) {
+            continue;
+        }
         let pair = (
             HeaderName::try_from(name),
             HeaderValue::from_str(header.value()),
