Replay recorded traces against the outcomes that they state

Cause: decisions could not be shown apart from processes; what follows a failed try was decided inside the forwarding code, with no property test. Ruled out: traces that state each verdict as the detector gave it (they would only repeat the build that wrote them); every outcome is stated from the fault's start and the 5 s target instead.

--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -16,6 +16,8 @@
 //!   [`TokenAsker`] finds tokens for the requests that wait on a host.
 //! * [`GrayDetector`] finds backend servers that fail grayly;
 //!   [`ConsecutiveErrorDetector`] is the usual way, to compare with.
+//! * [`RetryPolicy`] decides whether a request is sent again.
+//! * [`replay`] runs recorded events through the policies.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
 //!
 //! # Example
@@ -34,6 +36,8 @@
 mod limits;
 mod machine;
 mod rendezvous;
+pub mod replay;
+mod retry;
 mod slots;
 mod time;
 
@@ -50,6 +54,7 @@
     },
     machine::Machine,
     rendezvous::rendezvous_order,
+    retry::{RetryDecision, RetryPolicy, RetrySettings, RetryState, TryEnd},
     slots::{
         CellChooser, ChooserSettings, ColdStart, ColdStartSettings, EjectionFloor, FloorSettings,
         KeeperAction, KeeperEvent, KeeperSettings, KeeperTerm, ListedServer, OutcomeKind,
--- a/crates/mangostep/src/command.rs
+++ b/crates/mangostep/src/command.rs
@@ -4,7 +4,7 @@
 
 /// The exit code of a command that failed.
 pub(crate) const EXIT_FAILED: u8 = 1;
-/// The exit code of a command line that cannot be understood.
+/// The exit code of a command line or a file that cannot be understood.
 pub(crate) const EXIT_USAGE: u8 = 2;
 
 /// Why a command ended without doing its work.
@@ -12,6 +12,8 @@
 pub(crate) enum CommandError {
     /// The command line cannot be understood.
     Usage(String),
+    /// What the command should work on cannot be read.
+    Malformed(String),
     /// The work failed.
     Failed(String),
 }
--- a/crates/mangostep/src/fleet_access.rs
+++ b/crates/mangostep/src/fleet_access.rs
@@ -107,7 +107,11 @@
                 })
                 .collect()),
             Err(err) if self.settings.hosts.is_empty() => Err(err),
-            Err(CommandError::Usage(message) | CommandError::Failed(message)) => {
+            Err(
+                CommandError::Usage(message)
+                | CommandError::Failed(message)
+                | CommandError::Malformed(message),
+            ) => {
                 eprintln!("{message}; asking the named hosts");
                 let named = self.settings.hosts.iter();
                 Ok(named
--- a/crates/mangostep/src/main.rs
+++ b/crates/mangostep/src/main.rs
@@ -4,6 +4,7 @@
 mod command;
 mod fleet_access;
 mod publish;
+mod replay;
 mod serve;
 mod status;
 mod timeline;
@@ -24,6 +25,7 @@
   publish PATH...    publish a set of objects and wait until it is in force
   status             show hosts, versions in force, zones and ejections
   timeline           show the events of all hosts in one order
+  replay TRACE...    run recorded events and compare with stated outcomes
   help [COMMAND]     show this text, or that of a command
   version            show the version
 
@@ -46,6 +48,7 @@
         "serve" => (serve::run, serve::USAGE),
         "check" => (check::run, check::USAGE),
         "publish" => (publish::run, publish::USAGE),
+        "replay" => (replay::run, replay::USAGE),
         "status" => (status::run, status::USAGE),
         "timeline" => (timeline::run, timeline::USAGE),
         "version" => (show_version, "Usage: mangostep version\n"),
@@ -77,6 +80,10 @@
             eprintln!("mangostep: {message}\nSee `mangostep help`.");
             ExitCode::from(EXIT_USAGE)
         }
+        Err(CommandError::Malformed(message)) => {
+            eprintln!("mangostep: {message}");
+            ExitCode::from(EXIT_USAGE)
+        }
         Err(CommandError::Failed(message)) => {
             eprintln!("mangostep: {message}");
             ExitCode::from(EXIT_FAILED)
