--- a/crates/mangostep-daemon/src/slots/cell.rs
+++ b/crates/mangostep-daemon/src/slots/cell.rs
@@ -142,6 +142,10 @@
             self.keeper.set_zone(now, state, ramp);
             self.apply(now, KeeperEvent::Tick);
         }
+        let detector = self.keeper.detector_mut();
+        for host in &context.fleet.load().hosts {
+            detector.place_source(&host.name, &host.zone);
+        }
         let servers = context.servers.load();
         let own =
             |entry: &&DirectoryEntry| entry.service == self.service && entry.zone == self.zone;
--- a/crates/mangostep-policy/src/detection/paths.rs
+++ b/crates/mangostep-policy/src/detection/paths.rs
@@ -24,6 +24,9 @@
 
 impl SourceMap {
     pub(crate) fn place(&mut self, source: &str, zone: &str) {
+        if self.zones.get(source).is_some_and(|known| known == zone) {
+            return;
+        }
         self.zones.insert(source.to_owned(), zone.to_owned());
     }
 
--- a/crates/mangostep-policy/src/slots/keeper.rs
+++ b/crates/mangostep-policy/src/slots/keeper.rs
@@ -230,6 +230,11 @@
         (self.used(now) as usize + self.queue.waiting()) as f64 / f64::from(capacity)
     }
 
+    /// The detector, to be told what outcomes don't tell.
+    pub fn detector_mut(&mut self) -> &mut D {
+        &mut self.detector
+    }
+
     /// Requests that hold a permit.
     pub fn running(&self) -> usize {
         self.permits.len()
