--- a/crates/mangostep-daemon/src/slots/cell.rs
+++ b/crates/mangostep-daemon/src/slots/cell.rs
@@ -171,6 +171,10 @@
             self.keeper.set_zone(now, state, ramp);
             self.apply(now, KeeperEvent::Tick);
         }
+        let detector = self.keeper.detector_mut();
+        for host in &context.fleet.load().hosts {
+            detector.place_source(&host.name, &host.zone);
+        }
         let servers = context.servers.load_full();
         if Arc::ptr_eq(&servers, &self.directory) {
             return;
--- a/crates/mangostep/src/main.rs
+++ b/crates/mangostep/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet_access;
 mod members;
 mod publish;
+mod replay;
 mod serve;
 mod status;
 mod timeline;
@@ -26,6 +27,7 @@
   status             show hosts, versions in force, zones and ejections
   members            show the member set, or drop hosts that died for good
   timeline           show the events of all hosts in one order
+  replay TRACE...    run recorded events and compare with stated outcomes
   help [COMMAND]     show this text, or that of a command
   version            show the version
 
@@ -48,6 +50,7 @@
         "serve" => (serve::run, serve::USAGE),
         "check" => (check::run, check::USAGE),
         "publish" => (publish::run, publish::USAGE),
+        "replay" => (replay::run, replay::USAGE),
         "status" => (status::run, status::USAGE),
         "members" => (members::run, members::USAGE),
         "timeline" => (timeline::run, timeline::USAGE),
@@ -80,6 +83,10 @@
             eprintln!("mangostep: {message}\nSee `mangostep help`.");
             ExitCode::from(EXIT_USAGE)
         }
+        Err(CommandError::Malformed(message)) => {
+            eprintln!("mangostep: {message}");
+            ExitCode::from(EXIT_USAGE)
+        }
         Err(CommandError::Failed(message)) => {
             eprintln!("mangostep: {message}");
             ExitCode::from(EXIT_FAILED)
