--- a/crates/mangostep-daemon/src/context.rs
+++ b/crates/mangostep-daemon/src/context.rs
@@ -57,6 +57,8 @@
     pub(crate) draining: AtomicBool,
     /// Set once a planned stop has released all that the host held.
     pub(crate) released: AtomicBool,
+    /// Set when the host's availability zone takes no new requests.
+    pub(crate) zone_closed: AtomicBool,
     /// Requests that run now.
     pub(crate) running: AtomicU64,
 }
@@ -112,6 +114,12 @@
     pub(crate) operator: SocketAddr,
     pub(crate) leaving: bool,
     pub(crate) version: u64,
+    /// Requests that ran on it when it last renewed.
+    #[serde(default)]
+    pub(crate) running: u64,
+    /// It has not renewed lately, though most hosts have.
+    #[serde(default)]
+    pub(crate) silent: bool,
 }
 
 /// Until when this host may act, on its own monotonic clock.
--- a/crates/mangostep-daemon/src/entry_host.rs
+++ b/crates/mangostep-daemon/src/entry_host.rs
@@ -88,6 +88,7 @@
             addresses: OnceLock::new(),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            zone_closed: AtomicBool::new(false),
             released: AtomicBool::new(false),
             running: AtomicU64::new(0),
             settings,
--- a/crates/mangostep-daemon/src/front/handler.rs
+++ b/crates/mangostep-daemon/src/front/handler.rs
@@ -61,6 +61,9 @@
         if self.context.draining.load(Ordering::Acquire) {
             return Err(Refusal::not_run(503, "host-leaving"));
         }
+        if self.context.zone_closed.load(Ordering::Acquire) {
+            return Err(Refusal::not_run(503, "zone-out"));
+        }
         let path = NormalPath::parse(raw_path).ok_or(Refusal::not_run(400, "path-unclear"))?;
         let snapshot = self.context.snapshot.load_full();
         if snapshot.version() == 0 {
--- a/crates/mangostep-daemon/src/front/mod.rs
+++ b/crates/mangostep-daemon/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod headers;
 mod lookup;
 mod running;
+mod zone_gate;
 
 use std::{net::SocketAddr, sync::mpsc::SyncSender, thread::JoinHandle};
 
@@ -24,7 +25,11 @@
 };
 
 use crate::{
-    back::BackRing, entry_host::StopPhase, front::handler::EntryHandler, peer::PeerRing, prelude::*,
+    back::BackRing,
+    entry_host::StopPhase,
+    front::{handler::EntryHandler, zone_gate::watch_own_zone},
+    peer::PeerRing,
+    prelude::*,
 };
 
 const METHODS: [Method; 9] = [
@@ -62,6 +67,7 @@
         .collect();
     let run = move || {
         runtime.block_on(async move {
+            tokio::spawn(watch_own_zone(context.clone()));
             let rocket = rocket::custom(config)
                 .attach(Shield::new())
                 .attach(announce_address(bound))
--- a/crates/mangostep-daemon/src/store/renewal.rs
+++ b/crates/mangostep-daemon/src/store/renewal.rs
@@ -129,6 +129,7 @@
             peer: addresses.peer,
             operator: addresses.operator,
             leaving: context.leaving.load(Ordering::Acquire),
+            running: context.running.load(Ordering::Acquire),
             version: context.snapshot.load().version(),
             number: renewal.number,
             confirmed: renewal.confirmed,
--- a/crates/mangostep-daemon/src/store/table_view.rs
+++ b/crates/mangostep-daemon/src/store/table_view.rs
@@ -48,6 +48,9 @@
     pub(super) row: HostRow,
 }
 
+/// Renewals in a row that a host may miss before look-ups leave it out.
+const RENEWALS_MISSED_MAX: u32 = 3;
+
 impl TableView {
     pub(super) fn new(times: &LeaseTimes) -> Self {
         TableView {
@@ -167,6 +170,16 @@
         rows.filter(|known| is_dead(&known.row)).cloned().collect()
     }
 
+    /// Whether a host has let some renewals pass.
+    ///
+    /// It says nothing of the host's lease; look-ups stop naming it early.
+    fn is_silent(&self, now: MonotonicTime, context: &HostContext, row: &HostRow) -> bool {
+        let times = &context.settings.lease;
+        let patience = times.renew_every * RENEWALS_MISSED_MAX + times.reading_gap_max;
+        let unchanged = self.watch.unchanged_for(now, &row.host);
+        unchanged.is_some_and(|unchanged| unchanged > patience)
+    }
+
     /// Publishes the view to the other threads.
     pub(super) fn publish(&self, context: &HostContext, now: MonotonicTime, members: &MemberSet) {
         let is_lapsed = |row: &HostRow| {
@@ -180,8 +193,9 @@
             .values()
             .map(|known| &known.row)
             .filter(|row| !is_lapsed(row))
-            .map(peer_host)
+            .map(|row| peer_host(row, self.is_silent(now, context, row)))
             .collect();
+        forget_silence_of_most(&mut hosts);
         hosts.sort_unstable_by(|a, b| a.name.cmp(&b.name));
         let mut holders = HashMap::new();
         for known in self.groups.values() {
@@ -217,7 +231,17 @@
     }
 }
 
-fn peer_host(row: &HostRow) -> PeerHost {
+/// When most hosts look silent, the store or this host's way to it is.
+fn forget_silence_of_most(hosts: &mut [PeerHost]) {
+    let silent = hosts.iter().filter(|host| host.silent).count();
+    if silent * 2 >= hosts.len() {
+        for host in hosts {
+            host.silent = false;
+        }
+    }
+}
+
+fn peer_host(row: &HostRow, silent: bool) -> PeerHost {
     PeerHost {
         name: row.host.clone(),
         incarnation: row.incarnation,
@@ -227,5 +251,7 @@
         operator: row.operator,
         leaving: row.leaving,
         version: row.version,
+        running: row.running,
+        silent,
     }
 }
--- a/crates/mangostep-platform/src/host_row.rs
+++ b/crates/mangostep-platform/src/host_row.rs
@@ -21,6 +21,9 @@
     pub operator: SocketAddr,
     /// Whether the host is about to stop.
     pub leaving: bool,
+    /// Requests that run on the host.
+    #[serde(default)]
+    pub running: u64,
     /// Configuration version in force.
     pub version: u64,
     /// Number of the renewal that wrote the row, from 1.
--- a/crates/standins/tests/front.rs
+++ b/crates/standins/tests/front.rs
@@ -170,3 +170,63 @@
     fleet.close().await;
     Ok(())
 }
+
+#[tokio::test]
+async fn lookups_leave_out_hosts_that_are_gone_or_out() -> TestResult {
+    let mut fleet = TestFleet::open(FleetSettings {
+        zones: vec!["a".to_owned(), "b".to_owned()],
+        hosts_per_zone: 2,
+        host_settings: serde_json::json!({ "lookup_keep_ms": 1000 }),
+        ..Default::default()
+    })
+    .await?;
+    let caller = fleet.caller(0, "")?;
+    let names = |count: usize| {
+        let caller = caller.clone();
+        move || {
+            let caller = caller.clone();
+            async move {
+                named_hosts(&caller)
+                    .await
+                    .is_some_and(|named| named.len() == count)
+            }
+        }
+    };
+    wait_until("all hosts are named", Duration::from_secs(20), names(4)).await?;
+    fleet.hosts[1].signal(standins::fleet::ProcessSignal::Kill);
+    wait_until(
+        "the killed host is left out",
+        Duration::from_secs(20),
+        names(3),
+    )
+    .await?;
+    let mut set = standins::fleet::basic_objects(&["a".to_owned(), "b".to_owned()]);
+    set.zones[1].state = mangostep_objects::ZoneState::Out;
+    fleet.publish(&set).await?;
+    wait_until(
+        "the zone that is out is left out",
+        Duration::from_secs(20),
+        names(1),
+    )
+    .await?;
+    let late = fleet.caller(2, NORTH_KEY)?;
+    let refused = || async {
+        let answer = late.get("/lookup/1").await;
+        answer.is_ok_and(|answer| answer.reason.as_deref() == Some("zone-out"))
+    };
+    wait_until("hosts of the zone refuse", Duration::from_secs(5), refused).await?;
+    fleet.close().await;
+    Ok(())
+}
+
+async fn named_hosts(caller: &standins::fleet::Caller) -> Option<Vec<String>> {
+    let answer = caller.get("/_mangostep/entry").await.ok()?;
+    let told: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    let addresses = told["addresses"].as_array()?;
+    Some(
+        addresses
+            .iter()
+            .filter_map(|address| address.as_str().map(str::to_owned))
+            .collect(),
+    )
+}
