Measure fleets without their platform in slopes

Cause: vouching asks every member; its cost by hosts was not measured. Change: fleets of 6, 9 and 12 hosts run with the platform away; the one of 3 is loaded.

--- a/crates/standins/src/experiments/slopes/hosts.rs
+++ b/crates/standins/src/experiments/slopes/hosts.rs
@@ -10,16 +10,20 @@
     },
     fleet::{FleetSettings, NORTH_KEY, ProxiedLinks, ServerGroup, TestFleet},
     load::{LoadRequest, LoadSettings, run_load},
-    platform::ClientCounts,
+    platform::{AwayMode, ClientCounts, PlatformFault},
     usage::ProcessUsage,
 };
 
-const HOSTS_PER_ZONE: [usize; 3] = [1, 2, 4];
+const HOSTS_PER_ZONE: [usize; 4] = [1, 2, 3, 4];
 const RATES: [f64; 3] = [60.0, 180.0, 420.0];
 const SETTLE: Duration = Duration::from_secs(7);
 const IDLE: Duration = Duration::from_secs(5);
 const LOADED: Duration = Duration::from_secs(4);
 
+/// Time after which hosts without the platform ask each other.
+const UNTIL_DOUBT: Duration = Duration::from_secs(7);
+const OUTAGE: Duration = Duration::from_secs(4);
+
 /// What a daemon may spend for control.
 const CONTROL_CPU_PERCENT: f64 = 2.9;
 const CONTROL_BYTES_PER_S: f64 = 2_000.0;
@@ -28,22 +32,34 @@
 const PLATFORM_WRITES_PER_S: f64 = 300.0;
 const PLATFORM_READS_PER_S: f64 = 1_500.0;
 
-/// Idle fleets of several sizes, and one of them under several loads.
+/// Fleets of several sizes: idle, then under load or without the platform.
 pub(crate) async fn measure(settings: ExperimentSettings) -> Result<Figures, StandinError> {
-    let [small, middle, large] = HOSTS_PER_ZONE;
-    let (small, middle, large) = tokio::try_join!(
-        measure_fleet(small, None),
-        measure_fleet(middle, Some(settings.seed)),
-        measure_fleet(large, None),
-    )?;
+    let fleets = HOSTS_PER_ZONE.map(|hosts_per_zone| measure_fleet(hosts_per_zone, settings.seed));
+    let fleets = futures::future::try_join_all(fleets).await?;
+    let idle: Vec<&FleetCost> = fleets.iter().map(|fleet| &fleet.idle).collect();
     let mut figures = Figures::default();
-    let idle = [&small.0, &middle.0, &large.0];
     tell_idle(&idle, &mut figures);
     tell_lease_at_target(&idle, &mut figures);
-    tell_load(&middle.1, &mut figures);
+    let loaded: Vec<&FleetCost> = fleets.iter().flat_map(|fleet| &fleet.loaded).collect();
+    tell_load(&loaded, &mut figures);
+    let outage: Vec<&FleetCost> = fleets
+        .iter()
+        .filter_map(|fleet| fleet.outage.as_ref())
+        .collect();
+    tell_outage(&outage, &mut figures);
     Ok(figures)
 }
 
+/// What one fleet cost in its phases.
+#[derive(Debug)]
+struct FleetPhases {
+    idle: FleetCost,
+    /// The smallest fleet under several loads.
+    loaded: Vec<FleetCost>,
+    /// The other fleets while the whole platform is away.
+    outage: Option<FleetCost>,
+}
+
 /// Counters of a fleet at one moment.
 #[derive(Clone, Copy, Debug)]
 struct FleetMeter {
@@ -121,10 +137,7 @@
     }
 }
 
-async fn measure_fleet(
-    hosts_per_zone: usize,
-    load_seed: Option<u64>,
-) -> Result<(FleetCost, Vec<FleetCost>), StandinError> {
+async fn measure_fleet(hosts_per_zone: usize, seed: u64) -> Result<FleetPhases, StandinError> {
     let fleet = TestFleet::open(FleetSettings {
         fleet: format!("slopes-{hosts_per_zone}"),
         hosts_per_zone,
@@ -138,23 +151,39 @@
     })
     .await?;
     tokio::time::sleep(SETTLE).await;
-    let hosts = fleet.hosts.len();
-    let before = FleetMeter::read(&fleet).await?;
-    tokio::time::sleep(IDLE).await;
-    let after = FleetMeter::read(&fleet).await?;
-    let idle = FleetCost::between(before, after, hosts, 0.0);
-    let mut loaded = Vec::new();
-    if let Some(seed) = load_seed {
-        loaded.push(idle);
+    let idle = measure_quiet(&fleet, IDLE).await?;
+    let mut phases = FleetPhases {
+        idle,
+        loaded: Vec::new(),
+        outage: None,
+    };
+    if hosts_per_zone == HOSTS_PER_ZONE[0] {
+        phases.loaded.push(idle);
         for rate_per_s in RATES {
             let before = FleetMeter::read(&fleet).await?;
             run_load(load_settings(&fleet, rate_per_s, seed)).await?;
             let after = FleetMeter::read(&fleet).await?;
-            loaded.push(FleetCost::between(before, after, hosts, rate_per_s));
+            let cost = FleetCost::between(before, after, fleet.hosts.len(), rate_per_s);
+            phases.loaded.push(cost);
         }
+    } else {
+        let away = PlatformFault {
+            away: Some(AwayMode::Hang),
+            ..Default::default()
+        };
+        fleet.platform.set_faults(vec![away]).await?;
+        tokio::time::sleep(UNTIL_DOUBT).await;
+        phases.outage = Some(measure_quiet(&fleet, OUTAGE).await?);
     }
     fleet.close().await;
-    Ok((idle, loaded))
+    Ok(phases)
+}
+
+async fn measure_quiet(fleet: &TestFleet, time: Duration) -> Result<FleetCost, StandinError> {
+    let before = FleetMeter::read(fleet).await?;
+    tokio::time::sleep(time).await;
+    let after = FleetMeter::read(fleet).await?;
+    Ok(FleetCost::between(before, after, fleet.hosts.len(), 0.0))
 }
 
 fn load_settings(fleet: &TestFleet, rate_per_s: f64, seed: u64) -> LoadSettings {
@@ -249,7 +278,43 @@
     );
 }
 
-fn tell_load(costs: &[FleetCost], figures: &mut Figures) {
+fn tell_outage(costs: &[&FleetCost], figures: &mut Figures) {
+    let mut bytes = SizeLine::default();
+    let mut cpu = SizeLine::default();
+    for cost in costs {
+        bytes.push(cost.hosts, cost.peer_bytes);
+        cpu.push(cost.hosts, cost.cpu_percent);
+    }
+    // The members are asked less often at the target's lease times.
+    let (today, target) = (LeaseTimes::default(), LeaseTimes::for_890_hosts());
+    let fewer = today.ask_every.as_secs_f64() / target.ask_every.as_secs_f64();
+    let asked = bytes.at(TARGET_HOSTS) * fewer;
+    bytes.tell(
+        "outage_peer_bytes_by_hosts",
+        "B/s",
+        TARGET_HOSTS,
+        Bound::None,
+        figures,
+    );
+    cpu.tell(
+        "outage_cpu_by_hosts",
+        "%",
+        TARGET_HOSTS,
+        Bound::None,
+        figures,
+    );
+    let bound = Bound::AtMost(CONTROL_BYTES_PER_S);
+    figures.push("target_outage_peer_bytes", asked, "B/s", bound);
+    let share = cpu.at(TARGET_HOSTS) * fewer;
+    figures.push(
+        "target_outage_cpu",
+        share,
+        "%",
+        Bound::AtMost(CONTROL_CPU_PERCENT),
+    );
+}
+
+fn tell_load(costs: &[&FleetCost], figures: &mut Figures) {
     let mut tell = |name: &str, unit, value: fn(&FleetCost) -> f64| {
         let mut line = SizeLine::default();
         for cost in costs {
