--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     backend::{state::BackendState, work::serve_work},
-    http::{HttpAnswer, HttpStream, RequestBody, RequestHead},
+    http::{HttpAnswer, HttpStream, RequestBody, RequestHead, accept_connections},
 };
 
 pub use crate::backend::{
@@ -80,17 +80,11 @@
 
     /// Takes connections for ever.
     pub async fn run(self) {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(serve(self.context.clone(), stream));
-                }
-                Err(err) => {
-                    eprintln!("accept: {err}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-            }
-        }
+        let context = self.context;
+        accept_connections(self.listener, |stream, _| {
+            tokio::spawn(serve(context.clone(), stream));
+        })
+        .await;
     }
 }
 
--- a/crates/standins/src/bin/quickstart.rs
+++ b/crates/standins/src/bin/quickstart.rs
@@ -126,46 +126,15 @@
 }
 
 async fn send_requests(fleet: &TestFleet) -> Result<(), StandinError> {
-    let request =
-        |name: &str, method: reqwest::Method, path: &str, key: &str, weight| LoadRequest {
-            name: name.to_owned(),
-            method,
-            path: path.to_owned(),
-            key: key.to_owned(),
-            weight,
-            ..Default::default()
-        };
     let report = run_load(LoadSettings {
-        entries: fleet
-            .hosts
-            .iter()
-            .map(|host| host.addresses().front)
-            .collect(),
+        entries: fleet.entries(),
         rate_per_s: 60.0,
         duration: DEMONSTRATION,
         requests: vec![
-            request(
-                "look-up",
-                reqwest::Method::GET,
-                "/queue/1042",
-                WORKSHOP_KEY,
-                6.0,
-            ),
-            request(
-                "booking",
-                reqwest::Method::POST,
-                "/bookings/7",
-                WORKSHOP_KEY,
-                2.0,
-            ),
-            request(
-                "refund",
-                reqwest::Method::POST,
-                "/refunds/3",
-                TILLS_KEY,
-                2.0,
-            ),
-            request("no key", reqwest::Method::GET, "/queue/1042", "", 1.0),
+            LoadRequest::get("look-up", "/queue/1042", WORKSHOP_KEY).with_weight(6.0),
+            LoadRequest::post("booking", "/bookings/7", WORKSHOP_KEY).with_weight(2.0),
+            LoadRequest::post("refund", "/refunds/3", TILLS_KEY).with_weight(2.0),
+            LoadRequest::get("no key", "/queue/1042", ""),
         ],
         ..Default::default()
     })
--- a/crates/standins/src/experiments/leave.rs
+++ b/crates/standins/src/experiments/leave.rs
@@ -3,11 +3,9 @@
 use crate::{
     StandinError,
     backend::BackendSettings,
-    experiments::{Bound, ExperimentSettings, Figures},
-    fleet::{
-        FleetSettings, NORTH_KEY, ProcessSignal, ReadyProbe, ServerGroup, TestFleet, wait_until,
-    },
-    load::{LoadRequest, LoadSettings, audit_runs, run_load},
+    experiments::{Bound, ExperimentSettings, Figures, mixed_load::mixed_load},
+    fleet::{FleetSettings, ProcessSignal, ReadyProbe, ServerGroup, TestFleet, wait_until},
+    load::{audit_runs, run_load},
 };
 
 const RATE_PER_S: f64 = 150.0;
@@ -32,7 +30,12 @@
         ..Default::default()
     })
     .await?;
-    let load = tokio::spawn(run_load(load_settings(&fleet, settings.seed)));
+    let load = tokio::spawn(run_load(mixed_load(
+        &fleet,
+        RATE_PER_S,
+        LOAD,
+        settings.seed,
+    )));
     let end = Instant::now() + LOAD;
     let mut replaced = 0;
     let mut slowest = Duration::ZERO;
@@ -71,31 +74,6 @@
     Ok(figures)
 }
 
-fn load_settings(fleet: &TestFleet, seed: u64) -> LoadSettings {
-    let request = |name: &str, method, path: &str| LoadRequest {
-        name: name.to_owned(),
-        method,
-        path: path.to_owned(),
-        key: NORTH_KEY.to_owned(),
-        ..Default::default()
-    };
-    LoadSettings {
-        entries: fleet
-            .hosts
-            .iter()
-            .map(|host| host.addresses().front)
-            .collect(),
-        rate_per_s: RATE_PER_S,
-        duration: LOAD,
-        requests: vec![
-            request("lookup", reqwest::Method::GET, "/lookup/1"),
-            request("book", reqwest::Method::POST, "/book/1"),
-        ],
-        seed,
-        ..Default::default()
-    }
-}
-
 /// Stops a host in a planned way and starts it again; returns how long the
 /// stop took.
 async fn replace_host(fleet: &mut TestFleet, index: usize) -> Result<Duration, StandinError> {
--- a/crates/standins/src/experiments/mod.rs
+++ b/crates/standins/src/experiments/mod.rs
@@ -7,6 +7,7 @@
 
 mod figures;
 mod leave;
+mod mixed_load;
 mod path_overhead;
 mod silent;
 mod slopes;
--- a/crates/standins/src/experiments/path_overhead.rs
+++ b/crates/standins/src/experiments/path_overhead.rs
@@ -97,10 +97,7 @@
         look_up: false,
         rate_per_s: RATE_PER_S,
         duration,
-        requests: vec![LoadRequest {
-            key: NORTH_KEY.to_owned(),
-            ..Default::default()
-        }],
+        requests: vec![LoadRequest::get("lookup", "/lookup/1", NORTH_KEY)],
         seed,
         ..Default::default()
     })
--- a/crates/standins/src/experiments/silent.rs
+++ b/crates/standins/src/experiments/silent.rs
@@ -3,10 +3,10 @@
 use crate::{
     StandinError,
     backend::BackendSettings,
-    experiments::{Bound, ExperimentSettings, Figures},
+    experiments::{Bound, ExperimentSettings, Figures, mixed_load::mixed_load},
     fleet::basic_objects,
-    fleet::{FleetSettings, NORTH_KEY, ProxiedLinks, ServerGroup, StartObjects, TestFleet},
-    load::{LoadRequest, LoadSettings, audit_runs, run_load},
+    fleet::{FleetSettings, ProxiedLinks, ServerGroup, StartObjects, TestFleet},
+    load::{audit_runs, run_load},
     proxy::ProxyCommand,
 };
 
@@ -24,7 +24,12 @@
 /// again, while new ones work.
 pub(crate) async fn run(settings: ExperimentSettings) -> Result<Figures, StandinError> {
     let fleet = open_fleet().await?;
-    let load = tokio::spawn(run_load(load_settings(&fleet, settings.seed)));
+    let load = tokio::spawn(run_load(mixed_load(
+        &fleet,
+        RATE_PER_S,
+        LOAD,
+        settings.seed,
+    )));
     let mut silenced = 0;
     while !load.is_finished() {
         tokio::time::sleep(SILENCE_EVERY).await;
@@ -93,28 +98,3 @@
     })
     .await
 }
-
-fn load_settings(fleet: &TestFleet, seed: u64) -> LoadSettings {
-    let request = |name: &str, method, path: &str| LoadRequest {
-        name: name.to_owned(),
-        method,
-        path: path.to_owned(),
-        key: NORTH_KEY.to_owned(),
-        ..Default::default()
-    };
-    LoadSettings {
-        entries: fleet
-            .hosts
-            .iter()
-            .map(|host| host.addresses().front)
-            .collect(),
-        rate_per_s: RATE_PER_S,
-        duration: LOAD,
-        requests: vec![
-            request("lookup", reqwest::Method::GET, "/lookup/1"),
-            request("book", reqwest::Method::POST, "/book/1"),
-        ],
-        seed,
-        ..Default::default()
-    }
-}
--- a/crates/standins/src/experiments/slopes/hosts.rs
+++ b/crates/standins/src/experiments/slopes/hosts.rs
@@ -188,17 +188,10 @@
 
 fn load_settings(fleet: &TestFleet, rate_per_s: f64, seed: u64) -> LoadSettings {
     LoadSettings {
-        entries: fleet
-            .hosts
-            .iter()
-            .map(|host| host.addresses().front)
-            .collect(),
+        entries: fleet.entries(),
         rate_per_s,
         duration: LOADED,
-        requests: vec![LoadRequest {
-            key: NORTH_KEY.to_owned(),
-            ..Default::default()
-        }],
+        requests: vec![LoadRequest::get("lookup", "/lookup/1", NORTH_KEY)],
         seed,
         ..Default::default()
     }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -30,7 +30,7 @@
 mod start;
 mod wait;
 
-use std::{path::Path, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use {mangostep_objects::ObjectSet, reqwest::Client, tempfile::TempDir};
 
@@ -146,6 +146,12 @@
         self.directory.path()
     }
 
+    /// The addresses for callers of all hosts.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter();
+        hosts.map(|host| host.addresses().front).collect()
+    }
+
     /// A caller that uses one host; it presents no key when `key` is empty.
     ///
     /// # Errors
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -4,12 +4,14 @@
 //! prevent by design. Heads are parsed by `httparse`.
 
 mod answer;
+mod listen;
 mod request;
 mod stream;
 
 pub use crate::http::answer::CutPlace;
 pub(crate) use crate::http::{
     answer::{AnswerBody, HttpAnswer},
+    listen::accept_connections,
     request::{RequestBody, RequestHead},
     stream::HttpStream,
 };
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -61,6 +61,31 @@
     }
 }
 
+impl LoadRequest {
+    /// Requests by GET.
+    pub fn get(name: &str, path: &str, key: &str) -> Self {
+        LoadRequest {
+            name: name.to_owned(),
+            path: path.to_owned(),
+            key: key.to_owned(),
+            ..Default::default()
+        }
+    }
+
+    /// Requests by POST.
+    pub fn post(name: &str, path: &str, key: &str) -> Self {
+        LoadRequest {
+            method: reqwest::Method::POST,
+            ..LoadRequest::get(name, path, key)
+        }
+    }
+
+    /// The same with another part in the load.
+    pub fn with_weight(self, weight: f64) -> Self {
+        LoadRequest { weight, ..self }
+    }
+}
+
 /// How a load is sent.
 #[derive(Clone, Debug)]
 pub struct LoadSettings {
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    http::{HttpAnswer, HttpStream, RequestBody, RequestHead},
+    http::{HttpAnswer, HttpStream, RequestBody, RequestHead, accept_connections},
     platform::state::PlatformState,
 };
 
@@ -59,17 +59,11 @@
 
     /// Takes connections for ever.
     pub async fn run(self) {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(serve(self.state.clone(), stream));
-                }
-                Err(err) => {
-                    eprintln!("accept: {err}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-            }
-        }
+        let state = self.state;
+        accept_connections(self.listener, |stream, _| {
+            tokio::spawn(serve(state.clone(), stream));
+        })
+        .await;
     }
 }
 
--- a/crates/standins/src/proxy/mod.rs
+++ b/crates/standins/src/proxy/mod.rs
@@ -7,7 +7,6 @@
     collections::HashMap,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
-    time::Duration,
 };
 
 use tokio::{
@@ -16,7 +15,7 @@
 };
 
 use crate::{
-    http::{HttpAnswer, HttpStream, RequestBody, RequestHead},
+    http::{HttpAnswer, HttpStream, RequestBody, RequestHead, accept_connections},
     proxy::relay::{LinkCounter, ProxyLink, relay},
 };
 
@@ -81,17 +80,14 @@
 
     /// Takes connections for ever.
     pub async fn run(self) {
-        let control = self.control;
-        tokio::spawn(run_control(self.state.clone(), control));
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, source)) => accept(&self.state, stream, source.ip()),
-                Err(err) => {
-                    eprintln!("accept: {err}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-            }
-        }
+        let state = self.state;
+        let forwarding = accept_connections(self.listener, |stream, source| {
+            accept(&state, stream, source.ip());
+        });
+        let controlling = accept_connections(self.control, |stream, _| {
+            tokio::spawn(serve_control(state.clone(), HttpStream::new(stream)));
+        });
+        tokio::join!(forwarding, controlling);
     }
 }
 
@@ -186,14 +182,6 @@
     }
 }
 
-async fn run_control(state: Arc<Mutex<ProxyState>>, control: TcpListener) {
-    loop {
-        if let Ok((stream, _)) = control.accept().await {
-            tokio::spawn(serve_control(state.clone(), HttpStream::new(stream)));
-        }
-    }
-}
-
 async fn serve_control(state: Arc<Mutex<ProxyState>>, mut stream: HttpStream) {
     while let Ok(Some(head)) = stream.read_head().await {
         let Ok(body) = stream.read_body(&head, 1 << 20).await else {
