--- a/crates/standins/src/experiments/mod.rs
+++ b/crates/standins/src/experiments/mod.rs
@@ -9,6 +9,7 @@
 mod figures;
 mod host_pages;
 mod leave;
+mod mixed_load;
 mod path_overhead;
 mod silent;
 mod slopes;
