Measure limits under faults, ways of sharing them, and withdrawn keys

Change: experiments limits, limit-ways and keys; the load caller may present a key in its look-ups; the histogram mangostep_token_wait by place. Ruled out: comparing callers' latencies alone, which differ more by the load of this machine (15 to 21 on 10 cores) than by the way of sharing.

--- a/crates/mangostep-daemon/src/limits/duty.rs
+++ b/crates/mangostep-daemon/src/limits/duty.rs
@@ -119,6 +119,8 @@
             return Err(Refusal::not_run(403, "no-limit"));
         };
         let homes = self.routes_to(name.as_str(), limit);
+        let is_local = homes.first().is_some_and(|route| route.is_local);
+        let arrival = self.context.clock.now();
         let (reply, answer) = oneshot::channel();
         let id = {
             let mut asks = self.asks.borrow_mut();
@@ -133,7 +135,11 @@
             deadline,
             homes,
         }));
-        match answer.await {
+        let answer = answer.await;
+        let place = if is_local { "local" } else { "remote" };
+        let wait = self.context.clock.now().since(arrival);
+        self.context.counters.record_token_wait(place, wait);
+        match answer {
             Ok(Ok(())) => Ok(()),
             Ok(Err(refusal)) => Err(refusal_of(refusal)),
             Err(_) => Err(Refusal::not_run(503, "host-stopping")),
--- a/crates/mangostep-telemetry/src/counters.rs
+++ b/crates/mangostep-telemetry/src/counters.rs
@@ -34,6 +34,9 @@
     latency: Histogram<f64>,
     /// Time that requests waited for a slot, by `service` and `zone`.
     slot_wait: Histogram<f64>,
+    /// Time that requests waited for a token, by the `place` of the home that
+    /// was asked first.
+    token_wait: Histogram<f64>,
     /// Everything else, by `kind` and further labels.
     events: Counter<u64>,
 }
@@ -57,6 +60,7 @@
             requests: meter.u64_counter("mangostep_requests").build(),
             latency: latency_histogram(&meter, "mangostep_answer_latency"),
             slot_wait: latency_histogram(&meter, "mangostep_slot_wait"),
+            token_wait: latency_histogram(&meter, "mangostep_token_wait"),
             events: meter.u64_counter("mangostep_events").build(),
             registry,
             provider,
@@ -80,6 +84,15 @@
         self.slot_wait.record(wait.as_secs_f64(), &labels);
     }
 
+    /// Records the time that a request waited for a token.
+    ///
+    /// `place` is `local` when this host is the home that was asked first,
+    /// `remote` otherwise.
+    pub fn record_token_wait(&self, place: &'static str, wait: Duration) {
+        let labels = [KeyValue::new("place", place)];
+        self.token_wait.record(wait.as_secs_f64(), &labels);
+    }
+
     /// Counts something by a fixed kind, such as `ejection-granted`.
     pub fn count(&self, kind: &'static str, labels: &[CounterLabel<'_>]) {
         self.add(kind, 1, labels);
--- /dev/null
+++ b/crates/standins/src/experiments/keys.rs
@@ -0,0 +1,94 @@
+use std::time::{Duration, Instant};
+
+use crate::{
+    StandinError,
+    experiments::{Bound, ExperimentSettings, Figures},
+    fleet::{
+        Caller, FleetSettings, NORTH_KEY, ProxiedLinks, SOUTH_KEY, ServerGroup, TestFleet,
+        basic_objects,
+    },
+    proxy::{LinkRule, ProxyCommand},
+};
+
+/// Longest time in which a withdrawn key may still be admitted.
+const WITHDRAWAL_S: f64 = 5.0;
+
+const CUT_HOST: usize = 1;
+const ROUNDS: usize = 2;
+const WATCH: Duration = Duration::from_secs(7);
+const PAUSE: Duration = Duration::from_millis(4);
+
+/// Withdraws a key while callers hammer every host on open connections, the
+/// second time with one host cut off from the store.
+pub(crate) async fn run(_settings: ExperimentSettings) -> Result<Figures, StandinError> {
+    let fleet = TestFleet::open(FleetSettings {
+        hosts_per_zone: 2,
+        servers: vec![ServerGroup::default()],
+        proxied: ProxiedLinks {
+            platform: true,
+            ..Default::default()
+        },
+        ..Default::default()
+    })
+    .await?;
+    let mut figures = Figures::default();
+    for (round, key) in [NORTH_KEY, SOUTH_KEY].into_iter().enumerate().take(ROUNDS) {
+        let is_cut = round > 0;
+        if is_cut && let Some(proxy) = fleet.platform.proxy() {
+            let source = Some(fleet.hosts[CUT_HOST].outgoing());
+            let rule = LinkRule::CUT_BOTH;
+            proxy.run(vec![ProxyCommand::Rule { source, rule }]).await?;
+        }
+        withdraw(&fleet, round, key, &mut figures).await?;
+    }
+    fleet.close().await;
+    Ok(figures)
+}
+
+async fn withdraw(
+    fleet: &TestFleet,
+    round: usize,
+    key: &str,
+    figures: &mut Figures,
+) -> Result<(), StandinError> {
+    let end = Instant::now() + WATCH;
+    let mut hammers = Vec::new();
+    for host in 0..fleet.hosts.len() {
+        hammers.push(tokio::spawn(hammer(fleet.caller(host, key)?, end)));
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut set = basic_objects(&["a", "b", "c"].map(str::to_owned));
+    let kept = if round == 0 { "south" } else { "" };
+    set.keys.retain(|key| key.workspace == kept);
+    fleet.publish(&set).await?;
+    let accepted = Instant::now();
+    for (host, hammer) in hammers.into_iter().enumerate() {
+        let last = hammer
+            .await
+            .map_err(|err| StandinError::new("await caller", host, err))?;
+        let last = last.ok_or_else(|| StandinError::new("hammer", host, "never served"))?;
+        let after = last.saturating_duration_since(accepted).as_secs_f64();
+        let cut = if round > 0 && host == CUT_HOST {
+            "_cut"
+        } else {
+            ""
+        };
+        let name = format!("round{round}_host{host}{cut}_last_admitted");
+        figures.push(&name, after, "s", Bound::AtMost(WITHDRAWAL_S));
+    }
+    Ok(())
+}
+
+/// Sends on an open connection; returns the start of the last request that
+/// was served.
+async fn hammer(caller: Caller, end: Instant) -> Option<Instant> {
+    let mut last = None;
+    while Instant::now() < end {
+        let start = Instant::now();
+        if matches!(caller.get("/lookup/1").await, Ok(answer) if answer.status == 200) {
+            last = Some(start);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    last
+}
--- /dev/null
+++ b/crates/standins/src/experiments/limit_fleet.rs
@@ -0,0 +1,172 @@
+//! What the experiments on limits share.
+
+use std::{net::SocketAddr, time::Duration};
+
+use mangostep_objects::{Limit, ObjectSet};
+
+use crate::{
+    StandinError,
+    backend::BackendSettings,
+    fleet::{
+        FleetSettings, NORTH_KEY, ProxiedLinks, ReadyProbe, SOUTH_KEY, ServerGroup, StartObjects,
+        TestFleet, basic_objects, wait_until,
+    },
+    load::{LoadReport, LoadRequest, LoadSettings, OperationEnd},
+    tokens::WindowLimit,
+};
+
+/// Homes of all shards together.
+const ALL_HOMES: u64 = 192;
+
+const FOUNDING_LIMIT: Duration = Duration::from_secs(20);
+
+/// A limit of a whole number of requests.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WholeLimit {
+    pub(crate) rate_per_s: u64,
+    pub(crate) burst: u64,
+}
+
+impl WholeLimit {
+    pub(crate) fn window(self) -> WindowLimit {
+        WindowLimit {
+            rate_micro_per_s: self.rate_per_s * 1_000_000,
+            burst_micro: self.burst * 1_000_000,
+        }
+    }
+
+    /// Requests that a window of a length may hold.
+    pub(crate) fn most(self, window: Duration) -> f64 {
+        self.rate_per_s as f64 * window.as_secs_f64() + self.burst as f64
+    }
+
+    fn object(self, name: &str) -> Limit {
+        Limit {
+            name: name.to_owned(),
+            rate_per_s: self.rate_per_s as f64,
+            burst: self.burst as f64,
+        }
+    }
+}
+
+/// The basic objects with a limit for each of the two workspaces.
+pub(crate) fn limited_objects(north: WholeLimit, south: WholeLimit) -> ObjectSet {
+    let mut set = basic_objects(&["a", "b", "c"].map(str::to_owned));
+    set.limits
+        .extend([north.object("north"), south.object("south")]);
+    set.workspaces[0].limit = "north".to_owned();
+    set.workspaces[1].limit = "south".to_owned();
+    set
+}
+
+/// Opens three zones of two hosts, and waits until every home is held.
+pub(crate) async fn open_limited(objects: ObjectSet) -> Result<TestFleet, StandinError> {
+    let fleet = TestFleet::open(FleetSettings {
+        hosts_per_zone: 2,
+        servers: vec![ServerGroup {
+            per_zone: 2,
+            backend: BackendSettings {
+                slots: 8,
+                cold_slots: 8,
+                ..Default::default()
+            },
+            ..Default::default()
+        }],
+        objects: StartObjects::Set(objects),
+        proxied: ProxiedLinks {
+            peers: true,
+            ..Default::default()
+        },
+        host_settings: serde_json::json!({ "record_tokens": true }),
+        ready: Some(ReadyProbe {
+            path: "/open/ready".to_owned(),
+            key: String::new(),
+            ..Default::default()
+        }),
+        ..Default::default()
+    })
+    .await?;
+    wait_until("homes held", FOUNDING_LIMIT, || async {
+        let mut held = 0;
+        for host in &fleet.hosts {
+            held += homes_held(host.addresses().operator).await;
+        }
+        held == ALL_HOMES
+    })
+    .await?;
+    Ok(fleet)
+}
+
+/// Homes that a host has open, as its status tells.
+async fn homes_held(operator: SocketAddr) -> u64 {
+    let read = async {
+        let answer = reqwest::get(format!("http://{operator}/status")).await;
+        let status: serde_json::Value = answer.ok()?.json().await.ok()?;
+        status["sections"]["limits"]["homes"].as_u64()
+    };
+    read.await.unwrap_or(0)
+}
+
+/// A load of one of the workspaces.
+pub(crate) fn load(
+    key: &str,
+    entries: Vec<SocketAddr>,
+    rate_per_s: f64,
+    duration: Duration,
+    seed: u64,
+) -> LoadSettings {
+    LoadSettings {
+        entries,
+        look_up: false,
+        rate_per_s,
+        duration,
+        requests: vec![LoadRequest {
+            key: key.to_owned(),
+            ..Default::default()
+        }],
+        seed,
+        ..Default::default()
+    }
+}
+
+/// The key of workspace `north`.
+pub(crate) const NORTH: &str = NORTH_KEY;
+
+/// The key of workspace `south`.
+pub(crate) const SOUTH: &str = SOUTH_KEY;
+
+/// What of a load was refused for its rate.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RateRefusals {
+    pub(crate) sent: u64,
+    /// Refused although one bucket for the fleet would have admitted it.
+    pub(crate) within_rate: u64,
+    /// Not served for another reason.
+    pub(crate) otherwise: u64,
+}
+
+impl RateRefusals {
+    pub(crate) fn of(reports: &[LoadReport], limit: WholeLimit) -> Self {
+        let mut operations: Vec<_> = reports.iter().flat_map(|load| &load.operations).collect();
+        operations.sort_by_key(|operation| operation.due_us);
+        let due: Vec<u64> = operations.iter().map(|one| one.due_us).collect();
+        let admissible = limit.window().admissible(&due);
+        let mut refusals = RateRefusals::default();
+        for (operation, is_within) in operations.iter().zip(admissible) {
+            refusals.sent += 1;
+            match &operation.end {
+                OperationEnd::Answered { .. } => {}
+                OperationEnd::NotRun { reason, .. } if reason == "rate" => {
+                    refusals.within_rate += u64::from(is_within);
+                }
+                _ => refusals.otherwise += 1,
+            }
+        }
+        refusals
+    }
+
+    /// Requests refused though within rate, in percent of those sent.
+    pub(crate) fn percent(&self) -> f64 {
+        100.0 * self.within_rate as f64 / self.sent.max(1) as f64
+    }
+}
--- a/crates/standins/src/experiments/mod.rs
+++ b/crates/standins/src/experiments/mod.rs
@@ -8,12 +8,17 @@
 mod config;
 mod figures;
 mod host_pages;
+mod keys;
 mod leave;
+mod limit_fleet;
+mod limit_ways;
+mod limits;
 mod mixed_load;
 mod path_overhead;
 mod silent;
 mod slopes;
 mod store_outage;
+mod token_waits;
 
 use std::{future::Future, pin::Pin, time::Duration};
 
@@ -77,4 +82,19 @@
         about: "time from accepted to in force on every host, with hosts cut off",
         run: |settings| Box::pin(config::run(settings)),
     },
+    Experiment {
+        name: "limits",
+        about: "a workspace at five times its rate while hosts and links fail",
+        run: |settings| Box::pin(limits::run(settings)),
+    },
+    Experiment {
+        name: "limit-ways",
+        about: "homes first, spread evenly and static shares at 80% of the rate",
+        run: |settings| Box::pin(limit_ways::run(settings)),
+    },
+    Experiment {
+        name: "keys",
+        about: "a key is withdrawn while callers hammer every host",
+        run: |settings| Box::pin(keys::run(settings)),
+    },
 ];
--- a/crates/standins/src/load/lookup.rs
+++ b/crates/standins/src/load/lookup.rs
@@ -22,6 +22,8 @@
 pub struct EntryLookup {
     /// Addresses known at the start, in the order of asking.
     known: Vec<SocketAddr>,
+    /// Key that goes with the look-up; none when empty.
+    key: String,
     kept: Mutex<Option<(Instant, Vec<SocketAddr>)>>,
 }
 
@@ -30,10 +32,20 @@
     pub fn new(known: Vec<SocketAddr>) -> Self {
         EntryLookup {
             known,
+            key: String::new(),
             kept: Mutex::new(None),
         }
     }
 
+    /// The same look-up with a key, so that hosts can name the homes of its
+    /// workspace's limit first.
+    pub fn with_key(self, key: &str) -> Self {
+        EntryLookup {
+            key: key.to_owned(),
+            ..self
+        }
+    }
+
     /// The addresses to use now, best first.
     ///
     /// While no host answers, the last answer stays in use, or else the
@@ -47,7 +59,7 @@
         }
         let last = kept.map(|(_, addresses)| addresses).unwrap_or_default();
         for address in last.iter().chain(&self.known) {
-            let Some(answer) = ask(http, *address).await else {
+            let Some(answer) = ask(http, *address, &self.key).await else {
                 continue;
             };
             if answer.addresses.is_empty() {
@@ -74,12 +86,13 @@
     }
 }
 
-async fn ask(http: &Client, address: SocketAddr) -> Option<EntryAnswer> {
-    let answer = http
+async fn ask(http: &Client, address: SocketAddr, key: &str) -> Option<EntryAnswer> {
+    let mut request = http
         .get(format!("http://{address}/_mangostep/entry"))
-        .timeout(LOOKUP_LIMIT)
-        .send()
-        .await
-        .ok()?;
+        .timeout(LOOKUP_LIMIT);
+    if !key.is_empty() {
+        request = request.header("mangostep-key", key);
+    }
+    let answer = request.send().await.ok()?;
     answer.json().await.ok()
 }
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -94,6 +94,10 @@
     /// Whether callers ask which addresses to use; they keep to `entries`
     /// otherwise.
     pub look_up: bool,
+    /// Key that goes with their look-ups; none when empty.
+    pub look_up_key: String,
+    /// Whether callers that do not ask begin with different entries.
+    pub turn_entries: bool,
     /// IP number that connections start from; the system's choice when
     /// absent.
     pub source: Option<IpAddr>,
@@ -116,6 +120,8 @@
         LoadSettings {
             entries: Vec::new(),
             look_up: true,
+            look_up_key: String::new(),
+            turn_entries: false,
             source: None,
             callers: 8,
             rate_per_s: 100.0,
--- a/crates/standins/src/load/sender.rs
+++ b/crates/standins/src/load/sender.rs
@@ -23,6 +23,8 @@
     settings: Arc<LoadSettings>,
     http: Client,
     lookup: EntryLookup,
+    /// Entries in this caller's order.
+    turned: Vec<SocketAddr>,
 }
 
 impl RequestSender {
@@ -39,7 +41,8 @@
         let turn = number % known.len();
         known.rotate_left(turn);
         Ok(RequestSender {
-            lookup: EntryLookup::new(known),
+            turned: known.clone(),
+            lookup: EntryLookup::new(known).with_key(&settings.look_up_key),
             settings,
             http,
         })
@@ -72,6 +75,7 @@
     ) -> (OperationEnd, Option<SocketAddr>) {
         let addresses = match self.settings.look_up {
             true => self.lookup.addresses(&self.http).await,
+            false if self.settings.turn_entries => self.turned.clone(),
             false => self.settings.entries.clone(),
         };
         let mut last = OperationEnd::Lost("no-address".to_owned());
--- a/crates/standins/src/tokens.rs
+++ b/crates/standins/src/tokens.rs
@@ -146,6 +146,30 @@
     }
 }
 
+impl WindowLimit {
+    /// How many of some requests, due at the given times, would find a token
+    /// in one bucket for the whole fleet that starts full.
+    ///
+    /// The times must be sorted. Returns whether each would.
+    pub fn admissible(&self, due_us: &[u64]) -> Vec<bool> {
+        let rate = i128::from(self.rate_micro_per_s);
+        let burst = i128::from(self.burst_micro) * MICROS_PER_S;
+        let mut units = burst;
+        let mut last = due_us.first().copied().unwrap_or(0);
+        let mut admitted = Vec::with_capacity(due_us.len());
+        for at in due_us {
+            units = burst.min(units + rate * i128::from(at - last));
+            last = *at;
+            let is_admitted = units >= TOKEN_UNITS;
+            if is_admitted {
+                units -= TOKEN_UNITS;
+            }
+            admitted.push(is_admitted);
+        }
+        admitted
+    }
+}
+
 /// The most tokens in any window of a length.
 ///
 /// The times must be sorted.
