Judge servers by pooled outcomes and avoid a host's bad path

Change: every cell has a GrayDetector that knows the zones of the hosts; the keeper does not grant a server to a host whose path to it is bad; the ejection event tells how long the grant holds. Figures: the_floor_holds_when_servers_fail_in_all_zones: 9 servers, floor 7, 3 failing: 2 ejected at once, counted over the events of all hosts.

--- a/crates/mangostep-daemon/src/peer/gate.rs
+++ b/crates/mangostep-daemon/src/peer/gate.rs
@@ -164,7 +164,8 @@
         params: peer_link::AskSlotParams,
         results: peer_link::AskSlotResults,
     ) -> Result<(), capnp::Error> {
-        self.duties.slots.serve_ask(params, results).await
+        let slots = &self.duties.slots;
+        slots.serve_ask(&self.host, params, results).await
     }
 
     async fn release_slots(
--- a/crates/mangostep-daemon/src/slots/asking.rs
+++ b/crates/mangostep-daemon/src/slots/asking.rs
@@ -134,7 +134,7 @@
         let now = self.context.clock.now();
         let resource = cell_resource(&ask.service, &ask.zone);
         if self.context.held_epoch(&resource, now).is_some() {
-            return (self.ask_here(ask).await, None);
+            return (self.ask_here(&self.context.settings.host, ask).await, None);
         }
         let holder = self.holder_address(&resource);
         if let Some(keeper) = holder.filter(|keeper| self.may_try(now, *keeper)) {
@@ -163,7 +163,7 @@
             return (CellAnswer::not_keeper(), None);
         };
         if name == self.context.settings.host {
-            return (self.ask_here(ask).await, None);
+            return (self.ask_here(&self.context.settings.host, ask).await, None);
         }
         if !self.may_try(self.context.clock.now(), peer) {
             return (CellAnswer::not_keeper(), None);
--- a/crates/mangostep-daemon/src/slots/cell.rs
+++ b/crates/mangostep-daemon/src/slots/cell.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    context::FleetView,
     prelude::*,
     slots::{
         CellDetector,
@@ -55,6 +56,8 @@
     listed: Vec<ListedServer>,
     /// The directory that `listed` comes from.
     directory: Arc<Vec<DirectoryEntry>>,
+    /// The hosts whose availability zones the keeper knows.
+    fleet: Arc<FleetView>,
     has_prober: bool,
     addresses: HashMap<String, SocketAddr>,
     wishes: Vec<EjectionWish>,
@@ -87,6 +90,7 @@
             config_version: 0,
             listed: Vec::new(),
             directory: Arc::default(),
+            fleet: Arc::default(),
             has_prober: false,
             addresses: HashMap::new(),
             wishes: Vec::new(),
@@ -171,9 +175,12 @@
             self.keeper.set_zone(now, state, ramp);
             self.apply(now, KeeperEvent::Tick);
         }
-        let detector = self.keeper.detector_mut();
-        for host in &context.fleet.load().hosts {
-            detector.place_source(&host.name, &host.zone);
+        let fleet = context.fleet.load_full();
+        if !Arc::ptr_eq(&fleet, &self.fleet) {
+            for host in &fleet.hosts {
+                self.keeper.note_source(&host.name, &host.zone);
+            }
+            self.fleet = fleet;
         }
         let servers = context.servers.load_full();
         if Arc::ptr_eq(&servers, &self.directory) {
--- a/crates/mangostep-daemon/src/slots/ejecting.rs
+++ b/crates/mangostep-daemon/src/slots/ejecting.rs
@@ -51,11 +51,13 @@
             cell.apply(now, event);
         }
         let granted = is_granted.to_string();
+        let held_us = micros((asked + wish.hold).since(now)).to_string();
         let fields = [
             ("cell", resource.as_str()),
             ("server", &wish.server),
             ("reason", wish.reason),
             ("granted", &granted),
+            ("held_us", &held_us),
         ];
         self.context.recorder.record("ejection", &fields);
     }
--- a/crates/mangostep-daemon/src/slots/keeping.rs
+++ b/crates/mangostep-daemon/src/slots/keeping.rs
@@ -66,7 +66,7 @@
 
 impl SlotDuty {
     /// Answers an ask from this host or another out of a cell kept here.
-    pub(super) async fn ask_here(self: &Rc<Self>, ask: CellAsk) -> CellAnswer {
+    pub(super) async fn ask_here(self: &Rc<Self>, source: &str, ask: CellAsk) -> CellAnswer {
         let answer = {
             let now = self.context.clock.now();
             let Some(right) = self.right(now, &ask) else {
@@ -80,6 +80,7 @@
             let slot_ask = SlotAsk {
                 ticket: 0,
                 is_retry: ask.is_retry(),
+                source: source.to_owned(),
                 workspace: ask.workspace,
                 left: ask.left,
                 avoid: ask.avoid,
--- a/crates/mangostep-daemon/src/slots/serving.rs
+++ b/crates/mangostep-daemon/src/slots/serving.rs
@@ -14,6 +14,7 @@
 impl SlotDuty {
     pub(crate) async fn serve_ask(
         self: &Rc<Self>,
+        source: &str,
         params: peer_link::AskSlotParams,
         mut results: peer_link::AskSlotResults,
     ) -> Result<(), capnp::Error> {
@@ -21,7 +22,7 @@
         let clock = self.context.recorder.clock();
         clock.observe(params.get_stamp());
         let ask = CellAsk::read(params.get_ask()?)?;
-        let answer = self.ask_here(ask).await;
+        let answer = self.ask_here(source, ask).await;
         results.get().set_stamp(clock.tick());
         answer.write(results.get().init_answer());
         Ok(())
--- a/crates/mangostep-policy/src/detection/gray.rs
+++ b/crates/mangostep-policy/src/detection/gray.rs
@@ -207,6 +207,14 @@
 }
 
 impl ServerDetector for GrayDetector {
+    fn note_source(&mut self, source: &str, zone: &str) {
+        self.place_source(source, zone);
+    }
+
+    fn avoids(&self, now: MonotonicTime, server: &str, source: &str) -> bool {
+        self.is_path_bad(now, server, source)
+    }
+
     fn observe(&mut self, now: MonotonicTime, sample: OutcomeSample<'_>) {
         if !self.servers.contains_key(sample.server) {
             let record = ServerRecord::default();
--- a/crates/mangostep-policy/src/slots/keeper.rs
+++ b/crates/mangostep-policy/src/slots/keeper.rs
@@ -156,6 +156,7 @@
     deadline: MonotonicTime,
     answer_by: MonotonicTime,
     avoid: Vec<String>,
+    source: String,
 }
 
 impl<D: ServerDetector> SlotKeeper<D> {
@@ -197,6 +198,11 @@
         self.zone.set_state(now, state, return_ramp);
     }
 
+    /// Takes note of the availability zone of an entry host that asks.
+    pub fn note_source(&mut self, source: &str, zone: &str) {
+        self.detector.note_source(source, zone);
+    }
+
     /// Takes over which servers the keeper before this one knew as warm.
     ///
     /// A server that this keeper has used keeps what it has shown.
@@ -230,11 +236,6 @@
         (self.used(now) as usize + self.queue.waiting()) as f64 / f64::from(capacity)
     }
 
-    /// The detector, to be told what outcomes don't tell.
-    pub fn detector_mut(&mut self) -> &mut D {
-        &mut self.detector
-    }
-
     /// Requests that hold a permit.
     pub fn running(&self) -> usize {
         self.permits.len()
@@ -260,6 +261,7 @@
                     deadline: now + left,
                     answer_by: now + left.min(self.settings.wait_max),
                     avoid: ask.avoid,
+                    source: ask.source,
                 };
                 self.queue.push(&ask.workspace, waiter);
             }
@@ -280,7 +282,11 @@
             return Err((SlotRefusal::ZoneOut, Duration::ZERO));
         }
         let mut servers = self.servers.values();
-        if !servers.any(|s| self.slots(now, s) > 0 && !ask.avoid.contains(&s.name)) {
+        let may_use = |server: &ServerState| {
+            let is_tried = ask.avoid.contains(&server.name);
+            !is_tried && !self.detector.avoids(now, &server.name, &ask.source)
+        };
+        if !servers.any(|server| self.slots(now, server) > 0 && may_use(server)) {
             return Err((SlotRefusal::NoServer, self.settings.wait_max));
         }
         let wait = self.expected_wait(now, &ask.workspace);
@@ -341,10 +347,14 @@
     fn grant_waiting(&mut self, now: MonotonicTime, actions: &mut Vec<KeeperAction>) {
         while self.queue.waiting() > 0 && self.used(now) < self.capacity(now) {
             let free = self.free_servers(now);
+            let detector = &self.detector;
             let choose = |waiter: &Waiter| {
+                let may_use = |name: &String| {
+                    let is_tried = waiter.avoid.contains(name);
+                    !is_tried && !detector.avoids(now, name, &waiter.source)
+                };
                 let mut best = free.iter();
-                best.find(|(_, name)| !waiter.avoid.contains(name))
-                    .map(|(key, _)| *key)
+                best.find(|(_, name)| may_use(name)).map(|(key, _)| *key)
             };
             let Some((workspace, waiter, server)) = self.queue.pop(choose) else {
                 return;
--- a/crates/mangostep-policy/src/slots/messages.rs
+++ b/crates/mangostep-policy/src/slots/messages.rs
@@ -12,6 +12,8 @@
 pub struct SlotAsk {
     /// The caller's own name for the ask; the answer carries it.
     pub ticket: u64,
+    /// Name of the entry host that will send the request.
+    pub source: String,
     /// Workspace of the request; empty on a route open to all.
     pub workspace: String,
     /// Time that the request has left.
--- a/crates/mangostep-policy/tests/slot_keeper.rs
+++ b/crates/mangostep-policy/tests/slot_keeper.rs
@@ -227,6 +227,7 @@
                 seen.avoids.insert(seen.last_ticket, avoid.clone());
                 KeeperEvent::Ask(SlotAsk {
                     ticket: seen.last_ticket,
+                    source: "h1".to_owned(),
                     workspace: format!("w{}", workspace % 3),
                     left: Duration::from_millis(u64::from(left) * 8),
                     avoid: vec![avoid],
@@ -544,3 +545,41 @@
     };
     assert!(actions.iter().any(is_late), "{actions:?}");
 }
+
+/// Finds the path from one entry host to one server bad.
+#[derive(Debug)]
+struct BadPathDetector;
+
+impl ServerDetector for BadPathDetector {
+    fn observe(&mut self, _now: MonotonicTime, _sample: OutcomeSample<'_>) {}
+    fn verdicts(&mut self, _now: MonotonicTime, _verdicts: &mut Vec<ServerVerdict>) {}
+    fn forget(&mut self, _server: &str) {}
+    fn avoids(&self, _now: MonotonicTime, server: &str, source: &str) -> bool {
+        (server, source) == ("s0", "h1")
+    }
+}
+
+#[test]
+fn a_host_with_a_bad_path_gets_another_server_and_the_others_use_it() {
+    let term = KeeperTerm::HeldFrom(MonotonicTime::ZERO);
+    let mut keeper = SlotKeeper::open(SETTINGS, term, BadPathDetector);
+    let now = MonotonicTime::from_micros(1);
+    let mut actions = Vec::new();
+    keeper.apply(now, listed(2), &mut actions);
+    for (ticket, source) in [(1, "h1"), (2, "h1"), (3, "h2")] {
+        let ask = SlotAsk {
+            ticket,
+            source: source.to_owned(),
+            left: Duration::from_secs(1),
+            ..Default::default()
+        };
+        keeper.apply(now, KeeperEvent::Ask(ask), &mut actions);
+    }
+    let granted = |action: &KeeperAction| match action {
+        KeeperAction::Grant { ticket, server, .. } => Some((*ticket, server.clone())),
+        _ => None,
+    };
+    let granted: Vec<_> = actions.iter().filter_map(granted).collect();
+    // Each cold server bears one; the second ask of h1 waits.
+    assert_eq!(granted, [(1, "s1".to_owned()), (3, "s0".to_owned())]);
+}
--- a/crates/standins/tests/slots.rs
+++ b/crates/standins/tests/slots.rs
@@ -2,7 +2,7 @@
 //! fail, leave and return; every count is the servers' own.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -13,7 +13,7 @@
 use {
     mangostep_objects::{ObjectSet, ZoneState},
     standins::{
-        backend::{BackendControl, BackendSettings, RunRecord, wall_us},
+        backend::{BackendControl, BackendSettings, GrayFault, GrayMode, RunRecord, wall_us},
         fleet::{
             Caller, CallerAnswer, FleetSettings, NORTH_KEY, ProcessSignal, ServerGroup,
             StartObjects, TestFleet, basic_objects, wait_until,
@@ -438,3 +438,110 @@
     fleet.close().await;
     Ok(())
 }
+
+/// An ejection that the arbiter granted, by the wall clock.
+#[derive(Clone, Debug)]
+struct GrantedEjection {
+    server: String,
+    start_us: i64,
+    end_us: i64,
+}
+
+/// The most servers that were ejected at once.
+fn ejected_at_once(granted: &[GrantedEjection]) -> usize {
+    let at_once = granted.iter().map(|one| {
+        let is_held = |other: &&GrantedEjection| {
+            other.start_us <= one.start_us && one.start_us < other.end_us
+        };
+        let held = granted.iter().filter(is_held);
+        held.map(|other| &other.server)
+            .collect::<BTreeSet<_>>()
+            .len()
+    });
+    at_once.max().unwrap_or(0)
+}
+
+async fn granted_ejections(fleet: &TestFleet) -> Vec<GrantedEjection> {
+    let mut granted = Vec::new();
+    for host in &fleet.hosts {
+        let url = format!(
+            "http://{}/events?since=0&most=8192",
+            host.addresses().operator
+        );
+        let answer = reqwest::get(url).await.expect("the host lives");
+        let page: serde_json::Value = answer.json().await.expect("a page of events");
+        for event in page["events"].as_array().expect("events") {
+            let fields = &event["fields"];
+            if event["name"] == "ejection" && fields["granted"] == "true" {
+                let start_us = event["wall_us"].as_i64().expect("a time");
+                let held_us: i64 = fields["held_us"]
+                    .as_str()
+                    .expect("a time")
+                    .parse()
+                    .expect("a number");
+                granted.push(GrantedEjection {
+                    server: fields["server"].as_str().expect("a name").to_owned(),
+                    start_us,
+                    end_us: start_us + held_us,
+                });
+            }
+        }
+    }
+    granted
+}
+
+#[tokio::test]
+async fn the_floor_holds_when_servers_fail_in_all_zones() -> TestResult {
+    let zones = ["a", "b", "c"].map(str::to_owned);
+    let mut objects = basic_objects(&zones);
+    objects.services[0].floor = 7;
+    let settings = FleetSettings {
+        objects: StartObjects::Set(objects),
+        servers: vec![ServerGroup {
+            per_zone: 3,
+            backend: BackendSettings {
+                slots: 8,
+                cold_slots: 4,
+                work_ms: 20,
+                ..Default::default()
+            },
+            ..Default::default()
+        }],
+        ..Default::default()
+    };
+    let fleet = TestFleet::open(settings).await?;
+    let load = SteadyLoad::open(
+        callers(&fleet, &[0, 1, 2], 6)?,
+        reqwest::Method::GET,
+        "/lookup/1",
+    );
+    wait_until("all servers work", TAKEOVER_LIMIT, || async {
+        let mut least = u64::MAX;
+        for server in &fleet.servers {
+            least = least.min(server.summary().await.map_or(0, |summary| summary.ran));
+        }
+        least > 200
+    })
+    .await?;
+    // One server of three fails in each zone; the floor allows two ejections.
+    for zone in &zones {
+        let bad = fleet
+            .servers
+            .iter()
+            .find(|server| server.zone() == zone.as_str());
+        let bad = bad.expect("each zone has servers");
+        bad.set_faults(vec![GrayFault::always(GrayMode::Error)])
+            .await?;
+    }
+    wait_until("two servers are ejected", TAKEOVER_LIMIT, || async {
+        ejected_at_once(&granted_ejections(&fleet).await) >= 2
+    })
+    .await?;
+    // Long enough for ejections to end, and for the third server's turn.
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let granted = granted_ejections(&fleet).await;
+    load.close().await?;
+    assert_eq!(ejected_at_once(&granted), 2, "{granted:?}");
+    fleet.close().await;
+    Ok(())
+}
