Measure cold start, fairness and zone moves at the servers' records

Change: experiments cold-start, fairness and zone-move; TestFleet::keeper_of and ::events, which the tests of slots.rs use too.

--- /dev/null
+++ b/crates/standins/src/experiments/fairness.rs
@@ -0,0 +1,159 @@
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::Duration,
+};
+
+use mangostep_objects::{Key, KeyDigest, Workspace};
+
+use crate::{
+    StandinError,
+    backend::{BackendSettings, RunRecord},
+    experiments::{Bound, ExperimentSettings, Figures},
+    fleet::{FleetSettings, ReadyProbe, ServerGroup, StartObjects, TestFleet, basic_objects},
+    load::{
+        LoadReport, LoadRequest, LoadSettings, OperationEnd, RequestReport, audit_runs, run_load,
+    },
+};
+
+const WORKSPACES: usize = 8;
+const RATE_PER_S: f64 = 15.0;
+const FLOOD: f64 = 10.0;
+const WORK_MS: u64 = 50;
+const SLOTS: u32 = 2;
+const SERVERS: usize = 4;
+const WARM_UP: Duration = Duration::from_secs(3);
+const LOAD: Duration = Duration::from_secs(12);
+
+/// Lets one workspace send ten times what the others send each, so that all
+/// together want more than the servers bear.
+///
+/// The first workspace floods; what the others get is compared with what
+/// they get while it is silent.
+pub(crate) async fn run(settings: ExperimentSettings) -> Result<Figures, StandinError> {
+    let fleet = open_fleet().await?;
+    send(&fleet, 1.0, WARM_UP, settings.seed).await?;
+    let alone = send(&fleet, 0.0, LOAD, settings.seed + 1).await?;
+    let flooded = send(&fleet, FLOOD, LOAD, settings.seed + 2).await?;
+    let records = fleet.records().await?;
+    let audit = audit_runs(&flooded, &records, &[]);
+    let ran = served_runs(&flooded, &records);
+    let ran_alone = served_runs(&alone, &records);
+    let mut worst: f64 = 1.0;
+    for workspace in (1..WORKSPACES).map(workspace_name) {
+        let share = |report: &LoadReport, ran: &BTreeMap<String, u64>| {
+            let sent = report.kind(&workspace).map_or(0, |kind| kind.sent);
+            ran.get(&workspace).copied().unwrap_or(0) as f64 / sent.max(1) as f64
+        };
+        worst = worst.min(share(&flooded, &ran) / share(&alone, &ran_alone));
+    }
+    eprintln!("alone: {}", alone.reasons_line());
+    eprintln!("flooded: {}", flooded.reasons_line());
+    let mut figures = Figures::default();
+    let capacity = SERVERS as f64 * f64::from(SLOTS) * 1000.0 / WORK_MS as f64;
+    let wanted = RATE_PER_S * (WORKSPACES as f64 - 1.0 + FLOOD);
+    figures.push("wanted", wanted / capacity * 100.0, "%", Bound::None);
+    figures.push("worst_served", worst * 100.0, "%", Bound::AtLeast(99.0));
+    let flooder = flooded.kind(&workspace_name(0));
+    let flooder = flooder.map_or(0.0, RequestReport::served_share);
+    figures.push("flooder_served", flooder * 100.0, "%", Bound::None);
+    let false_not_run = audit.false_not_run as f64;
+    figures.push(
+        "false_not_run",
+        false_not_run,
+        "requests",
+        Bound::AtMost(0.0),
+    );
+    fleet.close().await;
+    Ok(figures)
+}
+
+/// Operations that were answered and ran by the servers' records, by kind.
+fn served_runs(report: &LoadReport, records: &[RunRecord]) -> BTreeMap<String, u64> {
+    let ran: HashSet<&str> = records
+        .iter()
+        .map(|record| record.operation.as_str())
+        .collect();
+    let mut counts = BTreeMap::new();
+    for operation in &report.operations {
+        let is_answered =
+            matches!(operation.end, OperationEnd::Answered { status } if status < 400);
+        if is_answered && ran.contains(operation.operation.as_str()) {
+            let kind = report.kinds[operation.kind].name.clone();
+            *counts.entry(kind).or_default() += 1;
+        }
+    }
+    counts
+}
+
+fn workspace_name(number: usize) -> String {
+    format!("w{number}")
+}
+
+fn key_of(workspace: &str) -> String {
+    format!("key-of-{workspace}")
+}
+
+async fn open_fleet() -> Result<TestFleet, StandinError> {
+    let zones = vec!["a".to_owned()];
+    let mut objects = basic_objects(&zones);
+    for service in &mut objects.services {
+        service.slots = SLOTS;
+        service.cold_slots = SLOTS;
+    }
+    for name in (0..WORKSPACES).map(workspace_name) {
+        objects.keys.push(Key {
+            name: format!("{name}-1"),
+            workspace: name.clone(),
+            sha256: KeyDigest::of(key_of(&name).as_bytes()),
+        });
+        objects.workspaces.push(Workspace {
+            name,
+            limit: "wide".to_owned(),
+        });
+    }
+    TestFleet::open(FleetSettings {
+        zones,
+        hosts_per_zone: 3,
+        objects: StartObjects::Set(objects),
+        servers: vec![ServerGroup {
+            per_zone: SERVERS,
+            backend: BackendSettings {
+                slots: SLOTS as usize,
+                cold_slots: SLOTS as usize,
+                work_ms: WORK_MS,
+                ..Default::default()
+            },
+            ..Default::default()
+        }],
+        ready: Some(ReadyProbe::default()),
+        ..Default::default()
+    })
+    .await
+}
+
+async fn send(
+    fleet: &TestFleet,
+    flood: f64,
+    duration: Duration,
+    seed: u64,
+) -> Result<LoadReport, StandinError> {
+    let requests: Vec<LoadRequest> = (0..WORKSPACES)
+        .map(|number| LoadRequest {
+            name: workspace_name(number),
+            key: key_of(&workspace_name(number)),
+            weight: if number == 0 { flood } else { 1.0 },
+            ..Default::default()
+        })
+        .filter(|request| request.weight > 0.0)
+        .collect();
+    let weight: f64 = requests.iter().map(|request| request.weight).sum();
+    run_load(LoadSettings {
+        entries: fleet.entries(),
+        rate_per_s: RATE_PER_S * weight,
+        duration,
+        requests,
+        seed,
+        ..Default::default()
+    })
+    .await
+}
--- a/crates/standins/src/experiments/mod.rs
+++ b/crates/standins/src/experiments/mod.rs
@@ -5,7 +5,9 @@
 //! returns [`Figures`], which are printed one a line:
 //! `name value unit bound verdict`.
 
+mod cold_start;
 mod config;
+mod fairness;
 mod figures;
 mod host_pages;
 mod leave;
@@ -14,6 +16,7 @@
 mod silent;
 mod slopes;
 mod store_outage;
+mod zone_move;
 
 use std::{future::Future, pin::Pin, time::Duration};
 
@@ -77,4 +80,19 @@
         about: "time from accepted to in force on every host, with hosts cut off",
         run: |settings| Box::pin(config::run(settings)),
     },
+    Experiment {
+        name: "cold-start",
+        about: "servers in cold start under load, with their keeper killed",
+        run: |settings| Box::pin(cold_start::run(settings)),
+    },
+    Experiment {
+        name: "fairness",
+        about: "one workspace at ten times the others, over what the servers bear",
+        run: |settings| Box::pin(fairness::run(settings)),
+    },
+    Experiment {
+        name: "zone-move",
+        about: "an availability zone goes out and returns under 60 % load",
+        run: |settings| Box::pin(zone_move::run(settings)),
+    },
 ];
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 
 mod block;
 mod caller;
+mod cells;
 mod control;
 mod handles;
 mod objects;
--- a/crates/standins/tests/slots.rs
+++ b/crates/standins/tests/slots.rs
@@ -130,32 +130,6 @@
     }
 }
 
-/// The hosts that said last that they hold a cell, by the largest epoch.
-async fn keeper_of(fleet: &TestFleet, cell: &str) -> Option<usize> {
-    let mut best = None;
-    for (index, host) in fleet.hosts.iter().enumerate() {
-        let url = format!(
-            "http://{}/events?since=0&most=8192",
-            host.addresses().operator
-        );
-        let client = reqwest::Client::new();
-        let asked = client.get(url).timeout(Duration::from_millis(500)).send();
-        let Ok(answer) = asked.await else {
-            continue;
-        };
-        let page: serde_json::Value = answer.json().await.ok()?;
-        for event in page["events"].as_array()? {
-            let fields = &event["fields"];
-            let is_held = event["name"] == "cell-kept" && fields["right"] == "held";
-            if is_held && fields["cell"] == cell {
-                let epoch: u64 = fields["epoch"].as_str()?.parse().ok()?;
-                best = best.max(Some((epoch, index)));
-            }
-        }
-    }
-    best.map(|(_, index)| index)
-}
-
 /// Waits until the keeper of a cell has stayed the same for some time, since
 /// cells move to better hosts after the start.
 async fn settled_keeper(
@@ -167,7 +141,7 @@
     let mut since = Instant::now();
     let mut known = None;
     while Instant::now() < end {
-        let keeper = keeper_of(fleet, cell).await;
+        let keeper = fleet.keeper_of(cell).await;
         if keeper != known {
             known = keeper;
             since = Instant::now();
@@ -294,7 +268,8 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     fleet.hosts[keeper].signal(signal);
     wait_until("another host holds the cell", TAKEOVER_LIMIT, || async {
-        keeper_of(&fleet, "cell/ledger/a")
+        fleet
+            .keeper_of("cell/ledger/a")
             .await
             .is_some_and(|now| now != keeper)
     })
@@ -463,22 +438,13 @@
 
 async fn granted_ejections(fleet: &TestFleet) -> Vec<GrantedEjection> {
     let mut granted = Vec::new();
-    for host in &fleet.hosts {
-        let url = format!(
-            "http://{}/events?since=0&most=8192",
-            host.addresses().operator
-        );
-        let answer = reqwest::get(url).await.expect("the host lives");
-        let page: serde_json::Value = answer.json().await.expect("a page of events");
-        for event in page["events"].as_array().expect("events") {
+    for host in 0..fleet.hosts.len() {
+        for event in fleet.events(host).await.expect("the host lives") {
             let fields = &event["fields"];
             if event["name"] == "ejection" && fields["granted"] == "true" {
                 let start_us = event["wall_us"].as_i64().expect("a time");
-                let held_us: i64 = fields["held_us"]
-                    .as_str()
-                    .expect("a time")
-                    .parse()
-                    .expect("a number");
+                let held_us = fields["held_us"].as_str().expect("a time");
+                let held_us: i64 = held_us.parse().expect("a number");
                 granted.push(GrantedEjection {
                     server: fields["server"].as_str().expect("a name").to_owned(),
                     start_us,
