--- a/crates/mangostep-daemon/src/slots/asking.rs
+++ b/crates/mangostep-daemon/src/slots/asking.rs
@@ -48,11 +48,16 @@
     ) -> Result<SlotGrant, Refusal> {
         let begun = self.context.clock.now();
         loop {
-            let end = match self.ask_all(&request).await {
-                Ok(grant) => return Ok(grant),
+            let result = self.ask_all(&request).await;
+            let now = self.context.clock.now();
+            let end = match result {
+                Ok(grant) => {
+                    let counters = &self.context.counters;
+                    counters.record_slot_wait(&grant.service, &grant.zone, now.since(begun));
+                    return Ok(grant);
+                }
                 Err(end) => end,
             };
-            let now = self.context.clock.now();
             let is_over = match end {
                 RoundEnd::StillWaiting => now + ROUND_PAUSE >= request.deadline,
                 RoundEnd::Nobody => {
@@ -62,7 +67,13 @@
                 _ => true,
             };
             if is_over {
-                return Err(refusal_after(end));
+                let refusal = refusal_after(end);
+                let labels = [
+                    ("service", request.service.as_str()),
+                    ("reason", refusal.reason),
+                ];
+                self.context.counters.count("slot-refused", &labels);
+                return Err(refusal);
             }
             tokio::time::sleep(ROUND_PAUSE).await;
         }
@@ -229,6 +240,7 @@
     fn note_unreachable(&self, peer: SocketAddr, err: &DaemonError) {
         let until = self.context.clock.now() + UNREACHABLE_FOR;
         if self.unreachable.borrow_mut().insert(peer, until).is_none() {
+            self.context.counters.count("keeper-unreachable", &[]);
             slog::info!(self.context.log, "keeper unreachable"; "cause" => err.to_string());
         }
     }
--- a/crates/mangostep-daemon/src/slots/ejecting.rs
+++ b/crates/mangostep-daemon/src/slots/ejecting.rs
@@ -50,6 +50,13 @@
         if let Some(cell) = self.cells.borrow_mut().get_mut(&resource) {
             cell.apply(now, event);
         }
+        let kind = if is_granted {
+            "ejection-granted"
+        } else {
+            "ejection-denied"
+        };
+        let labels = [("service", service.as_str()), ("reason", wish.reason)];
+        self.context.counters.count(kind, &labels);
         let granted = is_granted.to_string();
         let held_us = micros((asked + wish.hold).since(now)).to_string();
         let fields = [
--- a/crates/mangostep-daemon/src/slots/releasing.rs
+++ b/crates/mangostep-daemon/src/slots/releasing.rs
@@ -53,6 +53,9 @@
                 let count = waiting.len().min(RELEASES_MAX);
                 waiting.drain(..count).collect::<Vec<_>>()
             };
+            let counters = &self.context.counters;
+            counters.count("release-message", &[]);
+            counters.add("release", batch.len() as u64, &[]);
             // The permits of a lost message end by themselves.
             let _ = self.send_batch(keeper, &batch).await;
         }
