--- a/crates/standins/src/experiments/mod.rs
+++ b/crates/standins/src/experiments/mod.rs
@@ -5,7 +5,9 @@
 //! returns [`Figures`], which are printed one a line:
 //! `name value unit bound verdict`.
 
+mod cold_start;
 mod config;
+mod fairness;
 mod figures;
 mod host_pages;
 mod keys;
@@ -19,6 +21,7 @@
 mod slopes;
 mod store_outage;
 mod token_waits;
+mod zone_move;
 
 use std::{future::Future, pin::Pin, time::Duration};
 
@@ -97,4 +100,19 @@
         about: "a key is withdrawn while callers hammer every host",
         run: |settings| Box::pin(keys::run(settings)),
     },
+    Experiment {
+        name: "cold-start",
+        about: "servers in cold start under load, with their keeper killed",
+        run: |settings| Box::pin(cold_start::run(settings)),
+    },
+    Experiment {
+        name: "fairness",
+        about: "one workspace at ten times the others, over what the servers bear",
+        run: |settings| Box::pin(fairness::run(settings)),
+    },
+    Experiment {
+        name: "zone-move",
+        about: "an availability zone goes out and returns under 60 % load",
+        run: |settings| Box::pin(zone_move::run(settings)),
+    },
 ];
