Wait before a planned drain until the others have read the row

Cause: a leaving host drained after two keeping times of look-ups, but another host names it until it has read its row: with look-ups kept for 1 s, callers came to it after the drain. Change: it serves on for the keeping time and the longer of that and the time until the others have read the row. The experiments tell failures by second.

--- a/crates/mangostep-daemon/src/entry_host.rs
+++ b/crates/mangostep-daemon/src/entry_host.rs
@@ -48,9 +48,6 @@
     Stopped,
 }
 
-/// Keeping times of look-ups that pass before a host that leaves refuses new
-/// requests: one until other hosts know, one for answers given until then.
-const LOOKUP_KEEPS_BEFORE_DRAIN: u32 = 2;
 /// Time between two looks at a condition during a stop.
 const STOP_POLL: Duration = Duration::from_millis(10);
 /// Longest time that a stop waits for the table service.
@@ -159,7 +156,7 @@
         self.context.leaving.store(true, Ordering::Release);
         info!(self.context.log, "leaving");
         self.context.recorder.record("host-leaving", &[]);
-        std::thread::sleep(self.context.settings.lookup_keep * LOOKUP_KEEPS_BEFORE_DRAIN);
+        std::thread::sleep(time_before_drain(&self.context.settings));
         self.context.draining.store(true, Ordering::Release);
         self.stop.send_replace(StopPhase::Draining);
         let context = &self.context;
@@ -179,6 +176,16 @@
     }
 }
 
+/// How long a leaving host serves on, so that no caller still uses it.
+///
+/// Others name it until they have read the row that says so, and callers keep
+/// their answers.
+fn time_before_drain(settings: &ServeSettings) -> Duration {
+    let lease = &settings.lease;
+    let until_read = lease.renew_every + lease.reading_gap_max + lease.answer_limit;
+    settings.lookup_keep + until_read.max(settings.lookup_keep)
+}
+
 /// Waits until a condition holds, or the limit is over.
 fn wait_for(context: &HostContext, limit: Duration, holds: impl Fn() -> bool) {
     let end = context.clock.now() + limit;
--- a/crates/standins/src/experiments/leave.rs
+++ b/crates/standins/src/experiments/leave.rs
@@ -51,7 +51,7 @@
         .await
         .map_err(|err| StandinError::new("await load", "load caller", err))??;
     let audit = audit_runs(&report, &fleet.records().await?, &["book"]);
-    eprintln!("reasons: {}", report.reasons_line());
+    eprintln!("{}", report.failures_by_second());
     let total = &report.total;
     let cut = total.lost + total.unknown + total.not_sent;
     let mut figures = Figures::default();
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -185,13 +185,31 @@
         self.operations.push(record);
     }
 
-    /// Requests by the reason of their refusal or loss, as one line.
-    pub fn reasons_line(&self) -> String {
-        let reasons = self.total.reasons.iter();
-        let words: Vec<String> = reasons
-            .map(|(reason, count)| format!("{reason} {count}"))
-            .collect();
-        words.join(", ")
+    /// When and where requests were refused or lost: a line for each second
+    /// of the load, entry host and reason.
+    pub fn failures_by_second(&self) -> String {
+        let start = self.operations.iter().map(|operation| operation.due_us);
+        let start = start.min().unwrap_or(0);
+        let mut counts: BTreeMap<(u64, String, String), u64> = BTreeMap::new();
+        for operation in &self.operations {
+            let reason = match &operation.end {
+                OperationEnd::NotRun { reason, .. } | OperationEnd::Unknown { reason, .. } => {
+                    reason.clone()
+                }
+                OperationEnd::Lost(reason) => reason.clone(),
+                OperationEnd::NotSent => "not-sent".to_owned(),
+                OperationEnd::Answered { .. } | OperationEnd::Crossed { .. } => continue,
+            };
+            let second = (operation.due_us - start) / 1_000_000;
+            let entry = operation
+                .entry
+                .map_or_else(String::new, |entry| entry.to_string());
+            *counts.entry((second, entry, reason)).or_default() += 1;
+        }
+        let lines = counts
+            .iter()
+            .map(|((second, entry, reason), count)| format!("{second} s {entry} {reason} {count}"));
+        lines.collect::<Vec<_>>().join("\n")
     }
 
     /// The report of a kind, by its name.
