--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -185,6 +185,15 @@
         self.operations.push(record);
     }
 
+    /// Requests by the reason of their refusal or loss, as one line.
+    pub fn reasons_line(&self) -> String {
+        let reasons = self.total.reasons.iter();
+        let words: Vec<String> = reasons
+            .map(|(reason, count)| format!("{reason} {count}"))
+            .collect();
+        words.join(", ")
+    }
+
     /// When and where requests were refused or lost: a line for each second
     /// of the load, entry host and reason.
     pub fn failures_by_second(&self) -> String {
