Name file, line and field in settings, and face hostile inner messages

Cause: a wrong address in a settings file was told without its field, and nothing fed bad bytes to the inner protocol. Ruled out: a second reader for settings; the objects' reader serves both. Conclusion: connections from addresses that are no member's are not refused yet; the fleet's name is checked at the greeting.

--- a/crates/mangostep-daemon/src/peer/gate.rs
+++ b/crates/mangostep-daemon/src/peer/gate.rs
@@ -34,6 +34,7 @@
 async fn serve_peer(duties: Rc<PeerDuties>, stream: TcpStream) {
     // Small messages must not wait for others; a failure only costs time.
     let _ = stream.set_nodelay(true);
+    let context = duties.context.clone();
     let gate: gate::Client = new_client(PeerGate { duties });
     let (reader, writer) = stream.compat().split();
     let network = VatNetwork::new(
@@ -42,12 +43,15 @@
         Side::Server,
         Default::default(),
     );
-    // The connection's end is the peer's affair; its calls time out there.
-    let _ = RpcSystem::new(
+    let served = RpcSystem::new(
         Box::new(network),
         Some(gate.client.as_client_hook().add_ref().into_client()),
     )
     .await;
+    // The connection's end is the peer's affair; its calls time out there.
+    if served.is_err() {
+        context.counters.count("peer-connection-broken", &[]);
+    }
 }
 
 trait IntoClient {
@@ -65,6 +69,14 @@
     duties: Rc<PeerDuties>,
 }
 
+impl PeerGate {
+    fn refuse(&self, reason: &'static str) -> capnp::Error {
+        let counters = &self.duties.context.counters;
+        counters.count("peer-greeting-refused", &[("reason", reason)]);
+        capnp::Error::failed(reason.to_owned())
+    }
+}
+
 impl gate::Server for PeerGate {
     async fn greet(
         self: Rc<Self>,
@@ -74,10 +86,10 @@
         let hello = params.get()?.get_hello()?;
         let settings = &self.duties.context.settings;
         if hello.get_fleet()?.to_str()? != settings.fleet {
-            return Err(capnp::Error::failed("another fleet".to_owned()));
+            return Err(self.refuse("another fleet"));
         }
         if !speaks_with(hello.get_protocol()) {
-            return Err(capnp::Error::failed("another protocol version".to_owned()));
+            return Err(self.refuse("another protocol version"));
         }
         let host = hello.get_host()?.to_string()?;
         let mut answer = results.get();
--- a/crates/mangostep-daemon/src/settings.rs
+++ b/crates/mangostep-daemon/src/settings.rs
@@ -96,6 +96,20 @@
 }
 
 impl ServeSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, and the field at fault with its line.
+    pub fn from_text(file: &str, text: &str) -> Result<Self, String> {
+        let settings: ServeSettings =
+            mangostep_objects::read_settings(file, text).map_err(|err| err.to_string())?;
+        settings
+            .check()
+            .map_err(|fault| format!("{file}: {fault}"))?;
+        Ok(settings)
+    }
+
     /// Checks what cannot be told by the types alone.
     ///
     /// # Errors
--- a/crates/mangostep-objects/src/lib.rs
+++ b/crates/mangostep-objects/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`ObjectSet`] holds the objects as written: [`Workspace`], [`Key`],
 //!   [`Route`], [`Service`], [`AvailabilityZone`] and [`Limit`].
 //! * [`Snapshot`] is the compiled set, with look-ups by key and by path.
+//! * [`read_settings`] reads settings files with the same care.
 //! * [`ObjectError`] tells what is wrong, with file, object, field and line.
 //!
 //! # Example
@@ -43,4 +44,5 @@
     path::{NormalPath, normalize_host},
     set::ObjectSet,
     snapshot::{RouteTarget, Snapshot},
+    source::read_settings,
 };
--- a/crates/mangostep-objects/src/source.rs
+++ b/crates/mangostep-objects/src/source.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use {
     jsonc_parser::{
@@ -11,7 +11,7 @@
     serde_json::Value,
 };
 
-use crate::{ObjectFault, ObjectSet};
+use crate::{ObjectError, ObjectFault, ObjectSet};
 
 /// Where an object stands in the files that operators write.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -41,6 +41,53 @@
     }
 }
 
+/// Reads a settings file: one JSON object with comments.
+///
+/// # Errors
+///
+/// Tells the first field that cannot be read, with file and line; all fields
+/// that are given twice.
+///
+/// # Example
+///
+/// ```
+/// use mangostep_objects::read_settings;
+///
+/// #[derive(Debug, serde::Deserialize)]
+/// struct Lamp {
+///     watts: u32,
+/// }
+///
+/// let lamp: Lamp = read_settings("lamp.jsonc", "{ \"watts\": 5 // dim\n }")?;
+/// assert_eq!(lamp.watts, 5);
+/// let err = read_settings::<Lamp>("lamp.jsonc", "{\n\"watts\": \"5 W\" }").unwrap_err();
+/// assert!(err.to_string().starts_with("lamp.jsonc:2: watts: "));
+/// # Ok::<(), mangostep_objects::ObjectError>(())
+/// ```
+pub fn read_settings<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, ObjectError> {
+    let mut reader = SourceReader::empty(file, text);
+    let settings = match reader.parse(text) {
+        Some(Node::Object(object)) => {
+            let place = reader.place_of(&object, "");
+            reader.decode("", Value::from(Node::Object(object)), &place)
+        }
+        Some(_) => {
+            reader.fault(1, "", "", "expected one object, `{ ... }`".to_owned());
+            None
+        }
+        None => None,
+    };
+    match settings {
+        Some(settings) if reader.faults.is_empty() => Ok(settings),
+        _ => {
+            if reader.faults.is_empty() {
+                reader.fault(1, "", "", "the file is empty".to_owned());
+            }
+            Err(ObjectError::new(reader.faults))
+        }
+    }
+}
+
 /// Reads the objects of one file and tells all that is wrong with them.
 pub(crate) struct SourceReader<'t> {
     file: &'t str,
@@ -52,27 +99,40 @@
 
 impl<'t> SourceReader<'t> {
     pub(crate) fn read(file: &'t str, text: &'t str) -> Self {
+        let mut reader = SourceReader::empty(file, text);
+        let faults = reader.faults.len();
+        let root = reader.parse(text);
+        if reader.faults.len() == faults {
+            reader.read_root(root);
+        }
+        reader
+    }
+
+    fn empty(file: &'t str, text: &str) -> Self {
         let newlines = text.match_indices('\n').map(|(at, _)| at + 1);
-        let mut reader = SourceReader {
+        SourceReader {
             file,
             line_starts: std::iter::once(0).chain(newlines).collect(),
             set: ObjectSet::default(),
             places: ObjectPlaces::new(),
             faults: Vec::new(),
-        };
+        }
+    }
+
+    fn parse<'n>(&mut self, text: &'n str) -> Option<Node<'n>> {
         match parse_to_ast(text, &CollectOptions::default(), &parse_options()) {
-            Ok(parsed) => reader.read_root(parsed.value),
+            Ok(parsed) => parsed.value,
             Err(err) => {
-                let line = reader.line_of(err.range().start);
-                reader.fault(
+                let line = self.line_of(err.range().start);
+                self.fault(
                     line,
                     "",
                     "",
                     format!("not JSON with comments: {}", err.kind()),
                 );
+                None
             }
         }
-        reader
     }
 
     fn line_of(&self, offset: usize) -> usize {
@@ -122,29 +182,33 @@
     }
 
     fn read_object(&mut self, object: &Object<'_>) {
-        let mut place = ObjectPlace {
-            file: self.file.to_owned(),
-            line: self.line_of(object.range.start),
-            fields: HashMap::new(),
-        };
         let text_of = |field| object.get_string(field).map(|text| text.value.to_string());
         let kind = text_of("kind").unwrap_or_default();
         let name = text_of("name").unwrap_or_default();
         let label = format!("{kind} {name}").trim().to_owned();
-        let mut seen = HashSet::new();
+        let place = self.place_of(object, &label);
+        let mut value = Value::from(Node::Object(object.clone()));
+        if let Some(fields) = value.as_object_mut() {
+            fields.remove("kind");
+        }
+        self.push_object(&kind, &label, value, place);
+    }
+
+    /// Where an object and its fields stand; tells fields given twice.
+    fn place_of(&mut self, object: &Object<'_>, label: &str) -> ObjectPlace {
+        let mut fields = HashMap::new();
         for property in &object.properties {
             let field = property.name.as_str();
             let line = self.line_of(property.range.start);
-            if !seen.insert(field.to_owned()) {
-                self.fault(line, &label, field, "given twice".to_owned());
+            if fields.insert(field.to_owned(), line).is_some() {
+                self.fault(line, label, field, "given twice".to_owned());
             }
-            place.fields.insert(field.to_owned(), line);
         }
-        let mut value = Value::from(Node::Object(object.clone()));
-        if let Some(fields) = value.as_object_mut() {
-            fields.remove("kind");
+        ObjectPlace {
+            file: self.file.to_owned(),
+            line: self.line_of(object.range.start),
+            fields,
         }
-        self.push_object(&kind, &label, value, place);
     }
 
     fn push_object(&mut self, kind: &str, label: &str, value: Value, place: ObjectPlace) {
--- a/crates/mangostep/src/fleet_access.rs
+++ b/crates/mangostep/src/fleet_access.rs
@@ -40,8 +40,8 @@
         let mut settings = match file {
             Some(file) => {
                 let text = read_text(&file)?;
-                jsonc_parser::parse_to_serde_value(&text, &Default::default())
-                    .map_err(|err| CommandError::failed(&file.to_string_lossy(), err))?
+                mangostep_objects::read_settings(&file.to_string_lossy(), &text)
+                    .map_err(|err| CommandError::Failed(err.to_string()))?
             }
             None => OperatorSettings::default(),
         };
--- a/crates/mangostep/src/serve.rs
+++ b/crates/mangostep/src/serve.rs
@@ -32,11 +32,7 @@
 
 fn read_settings(path: &Path) -> Result<ServeSettings, CommandError> {
     let text = read_text(path)?;
-    let failed = |message: String| CommandError::failed(&path.to_string_lossy(), message);
-    let settings: ServeSettings = jsonc_parser::parse_to_serde_value(&text, &Default::default())
-        .map_err(|err| failed(err.to_string()))?;
-    settings.check().map_err(failed)?;
-    Ok(settings)
+    ServeSettings::from_text(&path.to_string_lossy(), &text).map_err(CommandError::Failed)
 }
 
 fn serve(settings: ServeSettings) -> Result<(), CommandError> {
--- /dev/null
+++ b/crates/standins/tests/hostile.rs
@@ -0,0 +1,39 @@
+//! Bytes that no peer would send reach the inner listener.
+
+use std::time::Duration;
+
+use {
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    standins::fleet::{FleetSettings, NORTH_KEY, TestFleet},
+    tokio::{io::AsyncWriteExt, net::TcpStream},
+};
+
+const SEED: u64 = 20_261_204;
+const CONNECTIONS: usize = 200;
+
+#[tokio::test]
+async fn garbage_at_the_inner_listener_stops_nothing() -> Result<(), Box<dyn std::error::Error>> {
+    println!("seed {SEED}");
+    let mut random = StdRng::seed_from_u64(SEED);
+    let mut fleet = TestFleet::open(FleetSettings {
+        zones: vec!["a".to_owned()],
+        hosts_per_zone: 2,
+        ..Default::default()
+    })
+    .await?;
+    for _ in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(fleet.hosts[0].addresses().peer).await?;
+        let length = random.random_range(1..4096);
+        let garbage: Vec<u8> = (0..length).map(|_| random.random()).collect();
+        // The host may close before all is written.
+        let write = stream.write_all(&garbage);
+        let _ = tokio::time::timeout(Duration::from_secs(5), write).await?;
+    }
+    for host in 0..2 {
+        let served = fleet.caller(host, NORTH_KEY)?.get("/lookup/after").await?;
+        assert_eq!(served.status, 200);
+        assert!(fleet.hosts[host].is_running());
+    }
+    fleet.close().await;
+    Ok(())
+}
