Let a peer's reading of the head keep a host fresh

A host whose last head was read early stopped being fresh before a majority of the others was in doubt; and a host that the store alone did not answer was never fresh. Ruled out: a longer freshness (withdrawn keys must die within 5 s), a shorter doubt (the taker's rule). Change: a vouch answer says for how long a head that the member read itself keeps it fresh; the asker is fresh as long, counted from its asking, if its version is no smaller. The test for it failed first, with that line off.

--- a/crates/mangostep-daemon/src/context.rs
+++ b/crates/mangostep-daemon/src/context.rs
@@ -127,6 +127,9 @@
 pub(crate) struct HostStanding {
     held_until_us: AtomicU64,
     fresh_until_us: AtomicU64,
+    /// The part of it that a head read from the store by this host accounts
+    /// for.
+    head_fresh_until_us: AtomicU64,
 }
 
 impl HostContext {
@@ -162,6 +165,19 @@
             .store(until.as_micros(), Ordering::Release);
     }
 
+    /// How long a head that this host read itself keeps it fresh.
+    pub(crate) fn head_fresh_for(&self, now: MonotonicTime) -> Duration {
+        let until = self.head_fresh_until_us.load(Ordering::Acquire);
+        MonotonicTime::from_micros(until).since(now)
+    }
+
+    /// Takes note of a head that this host read itself.
+    pub(crate) fn extend_head_fresh_until(&self, until: MonotonicTime) {
+        self.head_fresh_until_us
+            .fetch_max(until.as_micros(), Ordering::AcqRel);
+        self.extend_fresh_until(until);
+    }
+
     pub(crate) fn extend_fresh_until(&self, until: MonotonicTime) {
         self.fresh_until_us
             .fetch_max(until.as_micros(), Ordering::AcqRel);
--- a/crates/mangostep-daemon/src/lease_desk.rs
+++ b/crates/mangostep-daemon/src/lease_desk.rs
@@ -41,6 +41,8 @@
     pub(crate) asked: MonotonicTime,
     pub(crate) in_doubt: bool,
     pub(crate) version: u64,
+    /// How long a head that the member read itself keeps it fresh.
+    pub(crate) fresh_for: Duration,
 }
 
 impl LeaseDesk {
@@ -135,6 +137,11 @@
     pub(crate) fn take_answer(&self, context: &HostContext, answer: &MemberAnswer) {
         let mut state = self.lock();
         let now = context.clock.now();
+        // What the member read is as good as if this host had read it.
+        if (1..=context.snapshot.load().version()).contains(&answer.version) {
+            let until = answer.asked + answer.fresh_for;
+            context.standing.extend_fresh_until(until);
+        }
         if !answer.in_doubt {
             state.doubters.remove(&answer.host);
             return;
--- a/crates/mangostep-daemon/src/peer/gate.rs
+++ b/crates/mangostep-daemon/src/peer/gate.rs
@@ -118,7 +118,10 @@
         answer.set_stamp(context.recorder.clock().tick());
         let mut answer = answer.init_answer();
         answer.set_host(&context.settings.host);
-        answer.set_in_doubt(context.lease.is_in_doubt(context.clock.now()));
+        let now = context.clock.now();
+        answer.set_in_doubt(context.lease.is_in_doubt(now));
+        let fresh_us = context.standing.head_fresh_for(now).as_micros();
+        answer.set_fresh_us(u64::try_from(fresh_us).unwrap_or(u64::MAX));
         answer.set_version(context.snapshot.load().version());
         answer.set_member_set(context.lease.members().version());
         Ok(())
--- a/crates/mangostep-daemon/src/store/spread.rs
+++ b/crates/mangostep-daemon/src/store/spread.rs
@@ -40,7 +40,8 @@
             return;
         };
         if self.context.snapshot.load().version() >= head.version {
-            self.context.standing.extend_fresh_until(*asked + FRESH_FOR);
+            let until = *asked + FRESH_FOR;
+            self.context.standing.extend_head_fresh_until(until);
         }
     }
 
--- a/crates/mangostep-daemon/src/vouching/mod.rs
+++ b/crates/mangostep-daemon/src/vouching/mod.rs
@@ -90,6 +90,7 @@
                 asked,
                 in_doubt: answer.get_in_doubt(),
                 version: answer.get_version(),
+                fresh_for: Duration::from_micros(answer.get_fresh_us()),
             })
         };
         // A member that cannot be reached does not vouch; that is all.
--- a/crates/mangostep-wire/schema/peer.capnp
+++ b/crates/mangostep-wire/schema/peer.capnp
@@ -111,6 +111,7 @@
   version @1 :UInt64;       # configuration version in force
   memberSet @2 :UInt64;     # version of the member set that the answerer knows
   host @3 :Text;            # name of the answerer, since addresses are reused
+  freshUs @4 :UInt64;       # how long a head that it read itself keeps it fresh
 }
 
 struct TimelineEvent {
--- a/crates/mangostep-wire/src/peer_capnp.rs
+++ b/crates/mangostep-wire/src/peer_capnp.rs
@@ -4822,6 +4822,10 @@
         pub fn has_host(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_fresh_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> {
@@ -4830,7 +4834,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
+                data: 4,
                 pointers: 1,
             };
     }
@@ -4961,6 +4965,14 @@
         pub fn has_host(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_fresh_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_fresh_us(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline {
@@ -4975,52 +4987,59 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(4, 212, 7, 49, 34, 113, 105, 197),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(27, 61, 141, 64, 141, 98, 190, 233),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 86, 111, 117, 99, 104),
             ::capnp::word(65, 110, 115, 119, 101, 114, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 68, 111, 117, 98, 116, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5054,6 +5073,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 101, 115, 104, 85, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5061,6 +5088,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5079,9 +5107,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 2, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 3, 0, 2, 1];
         pub(crate) const TYPE_ID: u64 = 0xc569_7122_3107_d404;
     }
 }
--- a/crates/standins/src/experiments/store_outage.rs
+++ b/crates/standins/src/experiments/store_outage.rs
@@ -5,7 +5,7 @@
     experiments::{Bound, ExperimentSettings, Figures, host_pages::HostPages},
     fleet::{FleetSettings, NORTH_KEY, SOUTH_KEY, TestFleet},
     load::{LoadRequest, LoadSettings, run_load},
-    platform::{AwayMode, PlatformFault},
+    platform::{AwayMode, ClientCounts, PlatformControl, PlatformFault},
 };
 
 const HOSTS_PER_ZONE: usize = 2;
@@ -31,7 +31,7 @@
     .await?;
     tokio::time::sleep(SETTLE).await;
     let load = tokio::spawn(run_load(load_settings(&fleet, settings.seed)));
-    tokio::time::sleep(BEFORE_OUTAGE).await;
+    let counts = count_platform(&fleet, BEFORE_OUTAGE).await?;
     let away = PlatformFault {
         away: Some(AwayMode::Hang),
         ..Default::default()
@@ -64,10 +64,29 @@
         Bound::AtLeast(hosts),
     );
     figures.push("lapses", lapsed as f64, "times", Bound::AtMost(0.0));
+    let per_host_s = hosts * BEFORE_OUTAGE.as_secs_f64();
+    let mut rate = |name, count: u64, unit| {
+        figures.push(name, count as f64 / per_host_s, unit, Bound::None);
+    };
+    rate("writes_a_host", counts.row_writes, "rows/s");
+    rate("reads_a_host", counts.row_reads, "rows/s");
+    rate("transactions_a_host", counts.transactions, "calls/s");
+    rate("read_bytes_a_host", counts.row_read_bytes, "B/s");
     fleet.close().await;
     Ok(figures)
 }
 
+/// Counts what all hosts ask of the platform in a span of quiet time.
+async fn count_platform(fleet: &TestFleet, span: Duration) -> Result<ClientCounts, StandinError> {
+    let clear = PlatformControl {
+        clear_counts: true,
+        ..Default::default()
+    };
+    fleet.platform.control(&clear).await?;
+    tokio::time::sleep(span).await;
+    Ok(fleet.platform.counts().await?.total())
+}
+
 fn load_settings(fleet: &TestFleet, seed: u64) -> LoadSettings {
     let request = |name: &str, method, path: &str, key: &str| LoadRequest {
         name: name.to_owned(),
--- a/crates/standins/tests/lease/outage.rs
+++ b/crates/standins/tests/lease/outage.rs
@@ -103,6 +103,22 @@
     found.map_or(i64::MAX, |event| event.wall_us)
 }
 
+#[tokio::test]
+async fn a_host_without_the_store_stays_fresh_by_its_peers() -> TestResult {
+    let fleet = open_three(Default::default()).await?;
+    fleet.platform.set_faults(vec![away(&["a0"])]).await?;
+    let caller = fleet.caller(0, NORTH_KEY)?;
+    // Twice the time for which a head keeps its reader fresh.
+    let end = tokio::time::Instant::now() + Duration::from_secs(10);
+    while tokio::time::Instant::now() < end {
+        let answer = caller.get("/lookup/7").await?;
+        assert_ne!(answer.reason.as_deref(), Some("host-not-fresh"));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    fleet.close().await;
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_host_that_starts_without_the_store_serves() -> TestResult {
     let mut fleet = open_three(Default::default()).await?;
