Ask for a dry name again after a second, and test the hand-over

Cause: a host kept refusing a name until the time that the homes had told, up to an hour; a limit that was raised meanwhile stayed refused there. And nothing showed that a planned stop hands tokens over. Change: the refusal still tells the true time, but the homes are asked again after a second; the status tells how many states of earlier holders counted; the asker and the duty are split into smaller files.

--- a/crates/mangostep-daemon/src/limits/duty.rs
+++ b/crates/mangostep-daemon/src/limits/duty.rs
@@ -7,9 +7,8 @@
 
 use {
     mangostep_policy::{
-        AskEntry, AskRefusal, AskerAction, AskerEvent, AskerSettings, FleetLimit, HomeKey,
-        HomeRoute, Machine, TokenAsk, TokenAsker, TokenFraction, TokenGrant, WaiterId,
-        WaitingRequest,
+        AskRefusal, AskerAction, AskerEvent, AskerSettings, FleetLimit, HomeKey, HomeRoute,
+        Machine, TokenAsk, TokenAsker, TokenGrant, WaiterId, WaitingRequest,
     },
     mangostep_wire::peer_capnp::{TokenMode, peer_link},
     tokio::sync::{Notify, oneshot},
@@ -17,11 +16,9 @@
 
 use crate::{
     limits::{
-        home_table::{GATHER_LIMIT, GatheredFractions, HomeTable},
+        home_table::HomeTable,
         limit_name::{LimitName, fleet_limit},
-        token_messages::{
-            read_ask, read_fraction, read_grant, write_ask, write_fraction, write_grant,
-        },
+        token_messages::{read_grant, write_ask},
     },
     peer::PeerLinks,
     prelude::*,
@@ -79,15 +76,23 @@
             self.follow_holders();
             if now.since(swept) >= SWEEP_EVERY {
                 swept = now;
-                let buckets = self.table.borrow_mut().sweep(now);
-                let homes = self.table.borrow().epochs().len();
-                let section = serde_json::json!({ "homes": homes, "buckets": buckets });
-                self.context.status.set("limits", section);
+                self.table.borrow_mut().sweep(now);
+                self.tell_status();
                 self.apply(AskerEvent::Tick);
             }
         }
     }
 
+    fn tell_status(&self) {
+        let table = self.table.borrow();
+        let section = serde_json::json!({
+            "homes": table.epochs().len(),
+            "buckets": table.bucket_count(),
+            "states_accepted": table.accepted(),
+        });
+        self.context.status.set("limits", section);
+    }
+
     async fn run_asker(self: Rc<Self>) {
         loop {
             let wake = self.asks.borrow().asker.next_wake();
@@ -104,7 +109,7 @@
         }
     }
 
-    fn follow_snapshot(&self, now: MonotonicTime) {
+    pub(super) fn follow_snapshot(&self, now: MonotonicTime) {
         let snapshot = self.context.snapshot.load_full();
         self.table.borrow_mut().change_snapshot(now, snapshot);
     }
@@ -215,7 +220,7 @@
     }
 
     /// Name and address of a home's holder, with its epoch.
-    fn holder(&self, home: HomeKey) -> Option<(String, SocketAddr, u64)> {
+    pub(super) fn holder(&self, home: HomeKey) -> Option<(String, SocketAddr, u64)> {
         let fleet = self.context.fleet.load();
         let holder = fleet.holder(&home.resource())?;
         let host = fleet.host(&holder.host)?;
@@ -255,192 +260,6 @@
             .ok()
             .flatten()
     }
-
-    /// Takes tokens at an own home; nothing when this host may not give any.
-    ///
-    /// Returns the epoch under which they were taken.
-    fn take(
-        &self,
-        home: HomeKey,
-        epoch: u64,
-        entries: &[AskEntry],
-    ) -> Option<(u64, Vec<TokenGrant>)> {
-        // The process may have been paused: the clock is read, and standing
-        // and limits are looked at, right before tokens are given.
-        let now = self.context.clock.now();
-        let held = self.context.held_epoch(&home.resource(), now)?;
-        if epoch > held {
-            return None;
-        }
-        self.follow_snapshot(now);
-        let mut table = self.table.borrow_mut();
-        let grants: Vec<TokenGrant> = entries
-            .iter()
-            .map(|entry| table.take(now, home, held, entry))
-            .collect();
-        drop(table);
-        for (entry, grant) in entries.iter().zip(&grants) {
-            self.note_taken(now, home, &entry.name, grant.granted);
-        }
-        Some((held, grants))
-    }
-
-    /// Gives tokens at an own home, with the fractions of other homes where
-    /// this one is asked last.
-    async fn serve_tokens(
-        &self,
-        home: HomeKey,
-        epoch: u64,
-        entries: &[AskEntry],
-    ) -> Option<Vec<TokenGrant>> {
-        let (held, mut grants) = self.take(home, epoch, entries)?;
-        for (entry, grant) in entries.iter().zip(&mut grants) {
-            if entry.is_last && grant.granted < entry.tokens {
-                self.complete(home, held, entry, grant).await;
-            }
-        }
-        Some(grants)
-    }
-
-    /// Completes a grant with the fractions of the other homes.
-    async fn complete(&self, home: HomeKey, epoch: u64, entry: &AskEntry, grant: &mut TokenGrant) {
-        let context = &self.context;
-        let limit = fleet_limit(&context.snapshot.load(), &entry.name);
-        let others: Vec<HomeKey> = limit
-            .into_iter()
-            .flat_map(|limit| limit.homes(&entry.name))
-            .filter(|other| *other != home)
-            .collect();
-        if others.is_empty() {
-            return;
-        }
-        let asked = context.clock.now();
-        let begun = self
-            .table
-            .borrow_mut()
-            .begin_gather(asked, home, epoch, &entry.name);
-        if let Err(wait) = begun {
-            grant.retry_after = grant.retry_after.min(wait);
-            return;
-        }
-        let asking = others
-            .iter()
-            .map(|other| self.fraction_of(*other, &entry.name));
-        let answers = futures::future::join_all(asking).await;
-        let gathered = GatheredFractions {
-            is_complete: answers.iter().all(Option::is_some),
-            fractions: answers.into_iter().flatten().collect(),
-            asked,
-        };
-        let now = context.clock.now();
-        if context.held_epoch(&home.resource(), now) != Some(epoch) {
-            return;
-        }
-        let missing = AskEntry {
-            tokens: entry.tokens - grant.granted,
-            ..entry.clone()
-        };
-        let more = self
-            .table
-            .borrow_mut()
-            .end_gather(now, home, epoch, &missing, &gathered);
-        self.note_taken(now, home, &entry.name, more.granted);
-        grant.granted += more.granted;
-        grant.retry_after = more.retry_after;
-    }
-
-    /// Asks another home for what it has left of less than one token.
-    async fn fraction_of(&self, home: HomeKey, name: &str) -> Option<TokenFraction> {
-        let (host, peer, epoch) = self.holder(home)?;
-        if host == self.context.settings.host {
-            return self.give_fraction(home, 0, name);
-        }
-        let stamp = self.context.recorder.clock().tick();
-        let entries = [AskEntry {
-            name: name.to_owned(),
-            tokens: 0,
-            is_last: false,
-        }];
-        let call = |link: peer_link::Client| async move {
-            let mut request = link.ask_tokens_request();
-            let mut params = request.get();
-            params.set_stamp(stamp);
-            write_ask(params, home, epoch, TokenMode::Gather, &entries);
-            let response = request.send().promise.await?;
-            let answer = response.get()?;
-            let grants = answer.get_grants()?;
-            Ok((answer.get_home() && !grants.is_empty()).then(|| read_fraction(grants.get(0))))
-        };
-        self.links
-            .call(peer, "gather tokens", GATHER_LIMIT, call)
-            .await
-            .ok()
-            .flatten()
-    }
-
-    fn give_fraction(&self, home: HomeKey, epoch: u64, name: &str) -> Option<TokenFraction> {
-        let now = self.context.clock.now();
-        let held = self.context.held_epoch(&home.resource(), now)?;
-        if epoch > held {
-            return None;
-        }
-        self.follow_snapshot(now);
-        let mut table = self.table.borrow_mut();
-        Some(table.take_fraction(now, home, held, name))
-    }
-
-    /// Answers another host's ask.
-    pub(crate) async fn serve_ask(
-        &self,
-        params: peer_link::AskTokensParams,
-        mut results: peer_link::AskTokensResults,
-    ) -> Result<(), capnp::Error> {
-        let clock = self.context.recorder.clock();
-        clock.observe(params.get()?.get_stamp());
-        let ask = read_ask(params.get()?)?;
-        let length = u32::try_from(ask.entries.len()).unwrap_or(u32::MAX);
-        if ask.mode == TokenMode::Gather {
-            let fractions: Option<Vec<TokenFraction>> = ask
-                .entries
-                .iter()
-                .map(|entry| self.give_fraction(ask.home, ask.epoch, &entry.name))
-                .collect();
-            let mut answer = results.get();
-            answer.set_stamp(clock.tick());
-            answer.set_home(fractions.is_some());
-            let mut grants = answer.init_grants(length);
-            for (place, fraction) in (0..length).zip(fractions.iter().flatten()) {
-                write_fraction(grants.reborrow().get(place), fraction);
-            }
-            return Ok(());
-        }
-        let given = self.serve_tokens(ask.home, ask.epoch, &ask.entries).await;
-        let mut answer = results.get();
-        answer.set_stamp(clock.tick());
-        answer.set_home(given.is_some());
-        let mut grants = answer.init_grants(length);
-        for (place, grant) in (0..length).zip(given.iter().flatten()) {
-            write_grant(grants.reborrow().get(place), grant);
-        }
-        Ok(())
-    }
-
-    /// Records tokens where they are taken, when the settings ask for it.
-    fn note_taken(&self, now: MonotonicTime, home: HomeKey, name: &str, granted: u32) {
-        if granted == 0 || !self.context.settings.record_tokens {
-            return;
-        }
-        let fields = [
-            ("name", name.to_owned()),
-            ("home", home.resource()),
-            ("tokens", granted.to_string()),
-            ("at_us", now.as_micros().to_string()),
-        ];
-        let fields = fields
-            .each_ref()
-            .map(|(field, text)| (*field, text.as_str()));
-        self.context.recorder.record("tokens-taken", &fields);
-    }
 }
 
 fn refusal_of(refusal: AskRefusal) -> Refusal {
--- a/crates/mangostep-daemon/src/limits/home_table.rs
+++ b/crates/mangostep-daemon/src/limits/home_table.rs
@@ -28,6 +28,8 @@
     waiting: HashMap<HomeKey, WaitingState>,
     snapshot: Arc<Snapshot>,
     changes: Vec<LimitChange>,
+    /// States of earlier holders that counted.
+    accepted: u64,
 }
 
 struct OpenHome {
@@ -76,7 +78,8 @@
         let waiting = self.waiting.remove(&key);
         if let Some(waiting) = waiting.filter(|waiting| waiting.epoch + 1 == epoch) {
             let snapshot = self.snapshot.clone();
-            home.accept(now, &waiting.state, |name| fleet_limit(&snapshot, name));
+            let counts = home.accept(now, &waiting.state, |name| fleet_limit(&snapshot, name));
+            self.accepted += u64::from(counts);
         }
         for change in self.changes.iter().filter(|change| now < change.until) {
             home.change_limit(now, &change.name, change.old, change.new);
@@ -181,8 +184,10 @@
             && open.epoch > epoch
         {
             if open.epoch == epoch + 1 {
-                open.home
+                let counts = open
+                    .home
                     .accept(now, &state, |name| fleet_limit(&snapshot, name));
+                self.accepted += u64::from(counts);
             }
             return;
         }
@@ -195,6 +200,11 @@
         self.waiting.insert(key, waiting);
     }
 
+    /// States of earlier holders that counted.
+    pub(crate) fn accepted(&self) -> u64 {
+        self.accepted
+    }
+
     /// Homes that are open, with their epochs.
     pub(crate) fn epochs(&self) -> Vec<(HomeKey, u64)> {
         self.homes
@@ -231,19 +241,22 @@
         self.changes.extend(changes);
     }
 
-    /// Drops what is full or has run out; returns the buckets left.
-    pub(crate) fn sweep(&mut self, now: MonotonicTime) -> usize {
+    /// Names that have a bucket now, in all homes together.
+    pub(crate) fn bucket_count(&self) -> usize {
+        let homes = self.homes.values();
+        homes.map(|open| open.home.bucket_count()).sum()
+    }
+
+    /// Drops what is full or has run out.
+    pub(crate) fn sweep(&mut self, now: MonotonicTime) {
         self.changes.retain(|change| now < change.until);
         self.waiting.retain(|_, waiting| now < waiting.until);
         let snapshot = self.snapshot.clone();
-        let mut buckets = 0;
         for open in self.homes.values_mut() {
             open.gathered.retain(|_, until| now < *until);
-            buckets += open
-                .home
+            open.home
                 .drop_full(now, |name| fleet_limit(&snapshot, name));
         }
-        buckets
     }
 }
 
--- a/crates/mangostep-daemon/src/limits/mod.rs
+++ b/crates/mangostep-daemon/src/limits/mod.rs
@@ -5,6 +5,7 @@
 mod hand_over;
 mod home_table;
 mod limit_name;
+mod serving;
 mod token_messages;
 
 pub(crate) use crate::limits::{
--- a/crates/mangostep-policy/src/limits/asker.rs
+++ b/crates/mangostep-policy/src/limits/asker.rs
@@ -1,131 +1,23 @@
-use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
-    time::Duration,
-};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
     Machine, MonotonicTime,
-    limits::{home::TokenGrant, placement::HomeKey},
+    limits::{
+        asker_types::{
+            AskEntry, AskId, AskRefusal, AskerAction, AskerEvent, AskerSettings, HomeRoute,
+            TokenAsk, WaitingRequest,
+        },
+        home::TokenGrant,
+        placement::HomeKey,
+    },
 };
 
 new_key_type! {
-    /// Names an ask that is under way.
-    pub struct AskId;
     struct WaiterKey;
 }
 
-/// Names a waiting request; the caller chooses it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct WaiterId(pub u64);
-
-/// Times of a [`TokenAsker`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AskerSettings {
-    /// Time between two asks of one home; requests that come between wait
-    /// for the next one together.
-    pub batch: Duration,
-    /// Time after which the next home is asked.
-    pub ask_timeout: Duration,
-    /// Time from the asking in which tokens may be used.
-    pub validity: Duration,
-    /// Time for which a home that did not answer is asked last.
-    pub home_rest: Duration,
-}
-
-impl Default for AskerSettings {
-    fn default() -> Self {
-        AskerSettings {
-            batch: Duration::from_millis(1),
-            ask_timeout: Duration::from_millis(100),
-            validity: Duration::from_millis(250),
-            home_rest: Duration::from_secs(1),
-        }
-    }
-}
-
-/// A home and how it is reached.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HomeRoute {
-    /// The home.
-    pub home: HomeKey,
-    /// Whether this host is the home, so that asks need no message.
-    pub is_local: bool,
-}
-
-/// A request that waits for a token.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WaitingRequest {
-    /// The caller's name for it.
-    pub id: WaiterId,
-    /// Name that the limit holds for.
-    pub name: String,
-    /// Time after which a token is of no use.
-    pub deadline: MonotonicTime,
-    /// The homes of the name, the one to ask first in front.
-    pub homes: Vec<HomeRoute>,
-}
-
-/// What happens to a [`TokenAsker`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum AskerEvent {
-    /// A request waits.
-    Arrived(WaitingRequest),
-    /// A home answered: a grant for each of the ask's entries, in order.
-    Answered(AskId, Vec<TokenGrant>),
-    /// A home could not be reached, or is no home.
-    Failed(AskId),
-    /// Time went on.
-    Tick,
-}
-
-/// What the caller of a [`TokenAsker`] carries out.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum AskerAction {
-    /// Ask a home.
-    Ask(TokenAsk),
-    /// Let a request run.
-    Admit(WaiterId),
-    /// Refuse a request.
-    Refuse(WaiterId, AskRefusal),
-}
-
-/// One message to a home.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TokenAsk {
-    /// Names the ask in its answer.
-    pub id: AskId,
-    /// The home that is asked.
-    pub home: HomeKey,
-    /// What is asked for.
-    pub entries: Vec<AskEntry>,
-}
-
-/// Tokens asked for one name.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AskEntry {
-    /// Name that the limit holds for.
-    pub name: String,
-    /// Tokens, one for each request that waits now.
-    pub tokens: u32,
-    /// Whether all other homes were asked, so that this one should gather
-    /// their fractions.
-    pub is_last: bool,
-}
-
-/// Why a request got no token.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AskRefusal {
-    /// Every home that answered was out of tokens; a token comes back after
-    /// the given time.
-    Dry(Duration),
-    /// No home answered.
-    Unreachable,
-    /// The deadline passed.
-    Late,
-}
-
 /// Finds tokens for the requests that wait on one host.
 ///
 /// It keeps no token: what a home gives runs a request that waits, or is
@@ -166,8 +58,17 @@
     queues: BTreeMap<HomeKey, HomeQueue>,
     /// Homes that did not answer, until when they are asked last.
     resting: HashMap<HomeKey, MonotonicTime>,
-    /// Names that no home has a token for, until when.
-    dry: HashMap<String, MonotonicTime>,
+    /// Names that no home had a token for when it was asked.
+    dry: HashMap<String, DryName>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct DryName {
+    /// When a token comes back, as the homes told.
+    token_at: MonotonicTime,
+    /// When the homes are asked again at the latest, since the limit may have
+    /// changed.
+    forget_at: MonotonicTime,
 }
 
 #[derive(Debug)]
@@ -214,13 +115,12 @@
         request: WaitingRequest,
         actions: &mut Vec<AskerAction>,
     ) {
-        if let Some(until) = self.dry.get(&request.name).copied() {
-            if now < until {
-                let refusal = AskRefusal::Dry(until.since(now));
-                actions.push(AskerAction::Refuse(request.id, refusal));
-                return;
-            }
-            self.dry.remove(&request.name);
+        if let Some(dry) = self.dry.get(&request.name)
+            && now < dry.forget_at
+        {
+            let refusal = AskRefusal::Dry(dry.token_at.since(now));
+            actions.push(AskerAction::Refuse(request.id, refusal));
+            return;
         }
         let mut homes = request.homes.clone();
         homes.sort_by_key(|route| self.is_resting(now, route.home));
@@ -270,7 +170,11 @@
             return;
         };
         if let AskRefusal::Dry(wait) = refusal {
-            self.dry.insert(waiter.request.name, now + wait);
+            let dry = DryName {
+                token_at: now + wait,
+                forget_at: now + wait.min(self.settings.dry_memory),
+            };
+            self.dry.insert(waiter.request.name, dry);
         }
         actions.push(AskerAction::Refuse(waiter.request.id, refusal));
     }
@@ -414,7 +318,7 @@
 
     /// Forgets what has run out.
     fn forget_old(&mut self, now: MonotonicTime) {
-        self.dry.retain(|_, until| now < *until);
+        self.dry.retain(|_, dry| now < dry.forget_at);
         self.resting.retain(|_, until| now < *until);
     }
 }
--- a/crates/mangostep-policy/src/limits/home.rs
+++ b/crates/mangostep-policy/src/limits/home.rs
@@ -283,15 +283,15 @@
     /// this home's. Only the first state counts, so that one which comes
     /// twice adds nothing, and only right after the opening. What this home
     /// has refilled by then is taken off, since the forerunner's bucket might
-    /// have been full.
+    /// have been full. Returns whether the state counts.
     pub fn accept(
         &mut self,
         now: MonotonicTime,
         state: &HandOverState,
         limit_of: impl Fn(&str) -> Option<FleetLimit>,
-    ) {
+    ) -> bool {
         if !self.may_accept(now) {
-            return;
+            return false;
         }
         self.has_accepted = true;
         let age = Duration::from_micros(state.age_us);
@@ -318,6 +318,7 @@
             self.bucket(now, &name, limit).add_and_take(share, added, 0);
         }
         self.opened = self.opened.min(now - age);
+        true
     }
 
     fn may_accept(&self, now: MonotonicTime) -> bool {
--- a/crates/mangostep-policy/src/limits/mod.rs
+++ b/crates/mangostep-policy/src/limits/mod.rs
@@ -6,15 +6,17 @@
 //! the homes for requests that wait now, and stores none.
 
 mod asker;
+mod asker_types;
 mod bucket;
 mod home;
 mod placement;
 mod share;
 
 pub use crate::limits::{
-    asker::{
+    asker::TokenAsker,
+    asker_types::{
         AskEntry, AskId, AskRefusal, AskerAction, AskerEvent, AskerSettings, HomeRoute, TokenAsk,
-        TokenAsker, WaiterId, WaitingRequest,
+        WaiterId, WaitingRequest,
     },
     bucket::TokenFraction,
     home::{BucketState, HandOverState, LimitHome, TokenGrant},
--- a/crates/standins/tests/limits/main.rs
+++ b/crates/standins/tests/limits/main.rs
@@ -86,10 +86,15 @@
 
 /// Homes that a host has open, as its status tells.
 async fn homes_held(operator: SocketAddr) -> u64 {
+    limit_status(operator, "homes").await
+}
+
+/// A number of the part on limits of a host's status.
+async fn limit_status(operator: SocketAddr, field: &str) -> u64 {
     let read = async {
         let url = format!("http://{operator}/status");
         let status: serde_json::Value = client().get(url).send().await.ok()?.json().await.ok()?;
-        status["sections"]["limits"]["homes"].as_u64()
+        status["sections"]["limits"][field].as_u64()
     };
     read.await.unwrap_or(0)
 }
@@ -286,6 +291,34 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_host_that_leaves_hands_its_homes_over() -> TestResult {
+    let mut fleet = open_three(RATE_PER_S, BURST).await?;
+    let mut log = TokenLog::of_workspace("north");
+    let rate = 5.0 * RATE_PER_S as f64;
+    let given = homes_held(fleet.hosts[0].addresses().operator).await;
+    assert!(given > 0);
+    fleet.hosts[0].signal(ProcessSignal::Terminate);
+    let start = Instant::now();
+    loop {
+        send(&fleet, &mut log, &[1, 2], rate, Duration::from_secs(1)).await?;
+        let mut accepted = 0;
+        for host in &fleet.hosts[1..] {
+            accepted += limit_status(host.addresses().operator, "states_accepted").await;
+        }
+        if accepted >= given {
+            break;
+        }
+        assert!(
+            start.elapsed() < TAKEOVER_LIMIT,
+            "{accepted} of {given} states counted"
+        );
+    }
+    check_windows(&log, RATE_PER_S, BURST);
+    fleet.close().await;
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_limit_that_changes_under_traffic_holds_before_and_after() -> TestResult {
     let fleet = open_three(RATE_PER_S, BURST).await?;
