Grant nothing to waiting requests once the right to a cell is over

Cause: an ask that waited was granted by a later release or tick without a look at the host's standing. Change: before each release and tick of a cell the right is asked again; without it those that wait are sent elsewhere. The experiment fairness tells how many releases one message carries.

--- a/crates/mangostep-daemon/src/slots/cell.rs
+++ b/crates/mangostep-daemon/src/slots/cell.rs
@@ -225,6 +225,16 @@
         self.apply(now, KeeperEvent::Release(event));
     }
 
+    /// Sends all that wait elsewhere, since this host may not grant now.
+    pub(super) fn refuse_waiting(&mut self, now: MonotonicTime) {
+        for (ticket, reply) in std::mem::take(&mut self.tickets) {
+            let ticket = ticket as u64;
+            self.apply(now, KeeperEvent::Withdraw { ticket });
+            // The asker may have given up.
+            let _ = reply.send(CellAnswer::not_keeper());
+        }
+    }
+
     /// Lets the keeper act if its time has come.
     pub(super) fn tick(&mut self, now: MonotonicTime) {
         if self.keeper.next_wake().is_some_and(|wake| wake <= now) {
--- a/crates/mangostep-daemon/src/slots/keeping.rs
+++ b/crates/mangostep-daemon/src/slots/keeping.rs
@@ -102,6 +102,9 @@
         let Some(cell) = cells.get_mut(&resource) else {
             return;
         };
+        if !self.may_grant(now, &resource, cell.right()) {
+            cell.refuse_waiting(now);
+        }
         cell.release(now, source, release);
         let wishes = cell.take_wishes();
         drop(cells);
@@ -121,6 +124,14 @@
         (ask.is_stopgap && is_deputy && may_act).then_some(CellRight::Stopgap)
     }
 
+    /// Whether this host may still act in a right that it had.
+    fn may_grant(&self, now: MonotonicTime, resource: &str, right: CellRight) -> bool {
+        match right {
+            CellRight::Held(epoch) => self.context.held_epoch(resource, now) == Some(epoch),
+            CellRight::Stopgap => self.context.standing.holds(now),
+        }
+    }
+
     /// The cell of an ask, opened anew when the right to it is another.
     fn cell_under<'c>(
         &self,
@@ -227,6 +238,9 @@
         let mut wishes = Vec::new();
         let mut over = Vec::new();
         for (resource, cell) in self.cells.borrow_mut().iter_mut() {
+            if !self.may_grant(now, resource, cell.right()) {
+                cell.refuse_waiting(now);
+            }
             cell.refresh(&self.context, now);
             cell.tick(now);
             if cell.claim_probes() {
--- a/crates/standins/src/experiments/fairness.rs
+++ b/crates/standins/src/experiments/fairness.rs
@@ -56,6 +56,10 @@
     let flooder = flooded.kind(&workspace_name(0));
     let flooder = flooder.map_or(0.0, RequestReport::served_share);
     figures.push("flooder_served", flooder * 100.0, "%", Bound::None);
+    let releases = fleet.count_of("release").await?;
+    let messages = fleet.count_of("release-message").await?;
+    let batch = releases / messages;
+    figures.push("releases_a_message", batch, "releases", Bound::None);
     let false_not_run = audit.false_not_run as f64;
     figures.push(
         "false_not_run",
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod caller;
 mod cells;
 mod control;
+mod counts;
 mod handles;
 mod objects;
 mod process;
