Hand a cell over once the leaving keeper's permits are back

Cause: at a planned stop a cell whose servers are cold served no lookup for 3.39 s, since the new keeper waited for permits that were long back (a_keeper_that_leaves_hands_its_cold_cell_over failed first, without the change to the daemon). Ruled out: telling the ends of the permits, which are deadlines and so as long as the wait itself. Change: a retired cell takes releases until it is empty and tells the holder of the next epoch, which then grants in full; a stop waits up to 2 s for it. Conclusion: a crash still costs the wait, as it must.

--- a/crates/mangostep-daemon/src/context.rs
+++ b/crates/mangostep-daemon/src/context.rs
@@ -61,6 +61,8 @@
     pub(crate) zone_closed: AtomicBool,
     /// Requests that run now.
     pub(crate) running: AtomicU64,
+    /// Cells that this host holds or has not yet handed over.
+    pub(crate) kept_cells: AtomicU64,
 }
 
 /// Where an entry host is reached.
--- a/crates/mangostep-daemon/src/entry_host.rs
+++ b/crates/mangostep-daemon/src/entry_host.rs
@@ -53,6 +53,9 @@
 /// Longest time that a stop waits for the table service.
 const RELEASE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Longest wait for the permits of cells that other hosts took over.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
+
 impl EntryHost {
     /// Starts all threads; the host serves once it has a configuration.
     ///
@@ -88,6 +91,7 @@
             zone_closed: AtomicBool::new(false),
             released: AtomicBool::new(false),
             running: AtomicU64::new(0),
+            kept_cells: AtomicU64::new(0),
             settings,
         });
         let (stop, stopped) = watch::channel(StopPhase::Running);
@@ -167,6 +171,9 @@
         wait_for(context, RELEASE_LIMIT, || {
             context.released.load(Ordering::Acquire)
         });
+        wait_for(context, HAND_OVER_LIMIT, || {
+            context.kept_cells.load(Ordering::Acquire) == 0
+        });
         self.stop.send_replace(StopPhase::Stopped);
         for thread in self.threads {
             // A thread that panicked has told so on standard error.
--- a/crates/mangostep-daemon/src/slots/cell.rs
+++ b/crates/mangostep-daemon/src/slots/cell.rs
@@ -17,6 +17,7 @@
     prelude::*,
     slots::{
         CellDetector,
+        keeping::WarmNews,
         messages::{CellAnswer, CellGrant, CellRefusal, CellRelease},
     },
 };
@@ -73,12 +74,12 @@
         service: &str,
         zone: &str,
         right: CellRight,
-        warm: &[String],
+        news: &WarmNews,
     ) -> Option<Self> {
         let snapshot = context.snapshot.load();
         let settings = keeper_settings(&snapshot, service)?;
         let now = context.clock.now();
-        let term = term_of(right, now, &settings);
+        let term = term_of(right, now, &settings, news.is_closed);
         let mut cell = KeptCell {
             service: service.to_owned(),
             zone: zone.to_owned(),
@@ -97,7 +98,7 @@
             asked: now,
         };
         cell.refresh(context, now);
-        cell.set_warm(warm);
+        cell.set_warm(&news.warm);
         Some(cell)
     }
 
@@ -150,12 +151,23 @@
 
     /// Turns a stopgap into the holder, whose full right begins once the
     /// permits of the holder before have run out.
-    pub(super) fn promote(&mut self, now: MonotonicTime, epoch: u64) {
+    pub(super) fn promote(&mut self, now: MonotonicTime, epoch: u64, is_closed: bool) {
         self.right = CellRight::Held(epoch);
-        let term = term_of(self.right, now, &self.settings);
+        let term = term_of(self.right, now, &self.settings, is_closed);
         self.keeper.set_term(term);
     }
 
+    /// Grants in full right, since the holder before has closed its cell.
+    pub(super) fn follow_closed(&mut self, now: MonotonicTime) {
+        self.keeper.set_term(KeeperTerm::HeldFrom(now));
+        self.apply(now, KeeperEvent::Tick);
+    }
+
+    /// Whether a permit is out.
+    pub(super) fn is_running(&self) -> bool {
+        self.keeper.running() > 0
+    }
+
     /// Takes over what the configuration and the directory say now.
     pub(super) fn refresh(&mut self, context: &HostContext, now: MonotonicTime) {
         let snapshot = context.snapshot.load();
@@ -285,14 +297,6 @@
         std::mem::take(&mut self.wishes)
     }
 
-    /// Tells all that wait that this host keeps the cell no more.
-    pub(super) fn close(self) {
-        for (_, reply) in self.tickets {
-            // The asker may have given up.
-            let _ = reply.send(CellAnswer::not_keeper());
-        }
-    }
-
     fn grant(
         &mut self,
         now: MonotonicTime,
@@ -339,11 +343,17 @@
     Some(KeeperSettings::from_service(service, longest))
 }
 
-/// Nobody has held a cell before its first epoch, so no permit is out.
-fn term_of(right: CellRight, now: MonotonicTime, settings: &KeeperSettings) -> KeeperTerm {
+/// Nobody has held a cell before its first epoch, so no permit is out; none is
+/// either when the holder before has closed its cell.
+fn term_of(
+    right: CellRight,
+    now: MonotonicTime,
+    settings: &KeeperSettings,
+    is_closed: bool,
+) -> KeeperTerm {
     match right {
         CellRight::Stopgap => KeeperTerm::Stopgap,
-        CellRight::Held(epoch) if epoch <= 1 => KeeperTerm::HeldFrom(now),
+        CellRight::Held(epoch) if epoch <= 1 || is_closed => KeeperTerm::HeldFrom(now),
         CellRight::Held(_) => {
             KeeperTerm::HeldFrom(now + settings.validity_max + settings.validity_margin)
         }
--- a/crates/mangostep-daemon/src/slots/keeping.rs
+++ b/crates/mangostep-daemon/src/slots/keeping.rs
@@ -1,4 +1,4 @@
-use std::rc::Rc;
+use std::{rc::Rc, sync::atomic::Ordering};
 
 use {
     mangostep_policy::{SlotAsk, rendezvous_order},
@@ -31,7 +31,11 @@
 /// What a keeper tells the host that would follow it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct WarmNews {
+    /// Servers that are warm.
     pub(super) warm: Vec<String>,
+    /// Whether the keeper has given the cell up and no permit of it is out.
+    #[serde(default)]
+    pub(super) is_closed: bool,
 }
 
 /// News of warm servers as they came in or went out.
@@ -98,6 +102,10 @@
     pub(super) fn release_here(self: &Rc<Self>, source: &str, release: &CellRelease) {
         let now = self.context.clock.now();
         let resource = cell_resource(&release.service, &release.zone);
+        if let Some(closing) = self.closing.borrow_mut().get_mut(&resource) {
+            // A permit of another keeper matches nothing.
+            closing.release(now, source, release);
+        }
         let mut cells = self.cells.borrow_mut();
         let Some(cell) = cells.get_mut(&resource) else {
             return;
@@ -143,8 +151,8 @@
         let resource = cell_resource(&ask.service, &ask.zone);
         self.settle_right(cells, now, &resource, right);
         if !cells.contains_key(&resource) {
-            let warm = self.warm_servers(now, &resource);
-            let cell = KeptCell::open(&self.context, &ask.service, &ask.zone, right, &warm)?;
+            let news = self.news_for(now, &resource, right);
+            let cell = KeptCell::open(&self.context, &ask.service, &ask.zone, right, &news)?;
             cells.insert(resource.clone(), cell);
             self.record_keeping(&resource, right);
         }
@@ -165,12 +173,13 @@
         match (cell.right(), right) {
             (known, right) if known == right => {}
             (CellRight::Stopgap, CellRight::Held(epoch)) => {
-                cell.promote(now, epoch);
+                let news = self.news_for(now, resource, right);
+                cell.promote(now, epoch, news.is_closed);
                 self.record_keeping(resource, right);
             }
             _ => {
                 if let Some(cell) = cells.remove(resource) {
-                    cell.close();
+                    self.retire(now, resource, cell);
                 }
             }
         }
@@ -193,6 +202,9 @@
             let now = self.context.clock.now();
             self.open_held(now);
             self.tick_cells(now);
+            self.close_retired(now);
+            let kept = self.kept_cells();
+            self.context.kept_cells.store(kept, Ordering::Release);
             self.tell_warm(now);
         }
     }
@@ -225,8 +237,8 @@
             if cells.contains_key(resource) {
                 continue;
             }
-            let warm = self.warm_servers(now, resource);
-            let cell = KeptCell::open(&self.context, service, zone, right, &warm);
+            let news = self.news_for(now, resource, right);
+            let cell = KeptCell::open(&self.context, service, zone, right, &news);
             if let Some(cell) = cell {
                 cells.insert(resource.clone(), cell);
                 self.record_keeping(resource, right);
@@ -257,7 +269,7 @@
         for resource in over {
             let cell = self.cells.borrow_mut().remove(&resource);
             if let Some(cell) = cell {
-                cell.close();
+                self.retire(now, &resource, cell);
             }
         }
         for (service, zone, found) in wishes {
@@ -294,6 +306,7 @@
             };
             let news = WarmNews {
                 warm: cell.warm(now),
+                is_closed: false,
             };
             let key = format!("{resource} {}", to.name);
             let mut told = self.told.borrow_mut();
@@ -343,6 +356,56 @@
             .await;
     }
 
+    /// Cells that are held, or whose holder waits for this host.
+    fn kept_cells(&self) -> u64 {
+        let cells = self.cells.borrow();
+        let rights = cells.values().map(KeptCell::right);
+        let held = rights.filter(|right| matches!(right, CellRight::Held(_)));
+        (held.count() + self.closing.borrow().len() + self.handing_over.get()) as u64
+    }
+
+    /// Stops granting; a cell that was held stays until its permits are back.
+    fn retire(&self, now: MonotonicTime, resource: &str, mut cell: KeptCell) {
+        cell.refuse_waiting(now);
+        if matches!(cell.right(), CellRight::Held(_)) {
+            self.closing.borrow_mut().insert(resource.to_owned(), cell);
+        }
+    }
+
+    /// Tells the new holders of retired cells once no permit is out.
+    fn close_retired(self: &Rc<Self>, now: MonotonicTime) {
+        let fleet = self.context.fleet.load();
+        self.closing.borrow_mut().retain(|resource, cell| {
+            cell.tick(now);
+            let CellRight::Held(epoch) = cell.right() else {
+                return false;
+            };
+            if cell.is_running() {
+                return true;
+            }
+            let Some(holder) = fleet.holder(resource).filter(|holder| holder.epoch > epoch) else {
+                // Nobody follows yet.
+                return !cell.is_idle(now);
+            };
+            if let Some(host) = fleet.host(&holder.host) {
+                let news = WarmNews {
+                    warm: cell.warm(now),
+                    is_closed: true,
+                };
+                let sending = self
+                    .clone()
+                    .send_news(host.peer, resource.clone(), epoch, news);
+                let duty = self.clone();
+                duty.handing_over.set(duty.handing_over.get() + 1);
+                tokio::task::spawn_local(async move {
+                    sending.await;
+                    duty.handing_over.set(duty.handing_over.get() - 1);
+                });
+            }
+            false
+        });
+    }
+
     /// Takes the news of a cell's keeper; false when they are of no use.
     pub(super) fn take_news(&self, resource: &str, epoch: u64, state: &[u8]) -> bool {
         let Ok(news) = serde_json::from_slice::<WarmNews>(state) else {
@@ -353,19 +416,33 @@
             return false;
         }
         let at = self.context.clock.now();
-        if let Some(cell) = self.cells.borrow_mut().get_mut(resource)
-            && cell.right() == CellRight::Stopgap
-        {
-            cell.set_warm(&news.warm);
+        if let Some(cell) = self.cells.borrow_mut().get_mut(resource) {
+            match cell.right() {
+                CellRight::Stopgap => cell.set_warm(&news.warm),
+                CellRight::Held(own) if news.is_closed && own == epoch + 1 => {
+                    cell.set_warm(&news.warm);
+                    cell.follow_closed(at);
+                }
+                CellRight::Held(_) => {}
+            }
         }
         heard.insert(resource.to_owned(), NewsRecord { epoch, at, news });
         true
     }
 
-    fn warm_servers(&self, now: MonotonicTime, resource: &str) -> Vec<String> {
+    /// What this host was told of a cell that it comes to keep.
+    fn news_for(&self, now: MonotonicTime, resource: &str, right: CellRight) -> WarmNews {
         let heard = self.heard.borrow();
         let record = heard.get(resource);
         let recent = record.filter(|record| now.since(record.at) <= WARM_NEWS_AGE_MAX);
-        recent.map_or_else(Vec::new, |record| record.news.warm.clone())
+        let Some(record) = recent else {
+            return WarmNews::default();
+        };
+        // Only the close of the holder right before tells of all permits.
+        let follows = right == CellRight::Held(record.epoch + 1);
+        WarmNews {
+            warm: record.news.warm.clone(),
+            is_closed: record.news.is_closed && follows,
+        }
     }
 }
--- a/crates/mangostep-daemon/src/slots/mod.rs
+++ b/crates/mangostep-daemon/src/slots/mod.rs
@@ -22,7 +22,12 @@
 mod serving;
 mod types;
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use mangostep_policy::CellChooser;
 
@@ -48,6 +53,10 @@
     prober: reqwest::Client,
     /// Cells that this host keeps, by resource name.
     cells: RefCell<HashMap<String, KeptCell>>,
+    /// Cells that this host held, until their permits are back.
+    closing: RefCell<HashMap<String, KeptCell>>,
+    /// Closes of cells that are being told to their new holders.
+    handing_over: Cell<usize>,
     /// Choice among the cells of each service.
     choosers: RefCell<HashMap<String, CellChooser>>,
     /// Releases that wait for each keeper's answer to the ones before.
@@ -69,6 +78,8 @@
             context,
             links,
             cells: RefCell::default(),
+            closing: RefCell::default(),
+            handing_over: Cell::new(0),
             choosers: RefCell::default(),
             releases: RefCell::default(),
             unreachable: RefCell::default(),
--- a/crates/standins/tests/slots.rs
+++ b/crates/standins/tests/slots.rs
@@ -239,6 +239,54 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_keeper_that_leaves_hands_its_cold_cell_over() -> TestResult {
+    let zones = ["a".to_owned()];
+    let mut objects = basic_objects(&zones);
+    let deadline = objects.routes[0].deadline;
+    objects.services[0].cold_slots = 1;
+    objects.services[0].cold_ramp = Duration::from_secs(600);
+    let backend = BackendSettings {
+        cold_slots: 1,
+        cold: true,
+        warm_ms: 600_000,
+        work_ms: 30,
+        ..Default::default()
+    };
+    let settings = FleetSettings {
+        host_settings: serde_json::json!({ "lookup_keep_ms": 300 }),
+        ..single_zone(objects, backend, 2)
+    };
+    let mut fleet = TestFleet::open(settings).await?;
+    let keeper = settled_keeper(&fleet, "cell/ledger/a").await?;
+    let others: Vec<usize> = (0..3).filter(|host| *host != keeper).collect();
+    let callers = callers(&fleet, &others, 2)?;
+    let load = SteadyLoad::open(callers, reqwest::Method::GET, "/lookup/1");
+    let before = fleet.records().await?.len();
+    wait_until("work runs", TAKEOVER_LIMIT, || async {
+        let records = fleet.records().await;
+        records.is_ok_and(|records| records.len() > before + 50)
+    })
+    .await?;
+    fleet.hosts[keeper].signal(ProcessSignal::Terminate);
+    fleet.hosts[keeper].wait(TAKEOVER_LIMIT).await?;
+    let left_us = wall_us();
+    wait_until("work runs after the stop", TAKEOVER_LIMIT, || async {
+        let records = fleet.records().await.unwrap_or_default();
+        let later = records.iter().filter(|run| run.start_us > left_us);
+        later.count() > 50
+    })
+    .await?;
+    let gap = longest_gap(&load.close().await?);
+    for server in &fleet.servers {
+        let summary = server.summary().await?;
+        assert_eq!((summary.cold_concurrent_max, summary.falls), (1, 0));
+    }
+    assert!(gap < deadline, "no lookup served for {gap:?}");
+    fleet.close().await;
+    Ok(())
+}
+
 /// Runs bookings and lookups over the hosts that do not keep the cell while
 /// the keeper gets `signal`.
 async fn lose_keeper(signal: ProcessSignal) -> TestResult {
