Model a holder's own hand-over of its resource

Cause: holders move resources to better hosts, and the model had only takes. Change: every 30th counted reading a holder stops acting and writes another host as holder, again and again until it sees the change.

--- a/crates/mangostep-policy/tests/lease_model/process.rs
+++ b/crates/mangostep-policy/tests/lease_model/process.rs
@@ -10,6 +10,9 @@
     world::host_name,
 };
 
+/// Counted readings after which a holder moves its resource.
+const READINGS_BETWEEN_MOVES: u64 = 30;
+
 #[derive(Debug)]
 pub(crate) struct Process {
     pub(crate) host: usize,
@@ -27,6 +30,9 @@
     rules: LeaseRules,
     name: String,
     known_epoch: u64,
+    /// Epoch under which it gave the resource away.
+    given_epoch: Option<u64>,
+    readings: u64,
     own_version: u64,
     has_written: bool,
     watch: TakerWatch,
@@ -59,6 +65,8 @@
             rules: rules.clone(),
             name: host_name(host),
             known_epoch: 0,
+            given_epoch: None,
+            readings: 0,
             own_version: 0,
             has_written: false,
             watch: TakerWatch::with_rules(times.clone(), rules.clone()),
@@ -135,7 +143,9 @@
                     incarnation: self.incarnation,
                     epoch: table.holder.epoch,
                 };
-            self.held_epoch = is_own.then_some(table.holder.epoch);
+            let epoch = table.holder.epoch;
+            let acts = is_own && self.given_epoch != Some(epoch);
+            self.held_epoch = acts.then_some(epoch);
         }
     }
 
@@ -165,9 +175,36 @@
             });
         }
         writes.extend(present.and_then(|members| self.take(now, members, table)));
+        writes.extend(self.give(table));
         writes
     }
 
+    /// Moves the resource to another host, now and then; the process stops
+    /// acting before it writes, and writes again until it sees the change.
+    fn give(&mut self, table: &Table) -> Option<Operation> {
+        self.readings += 1;
+        let old = &table.holder;
+        let is_own = old.host == self.host && old.incarnation == self.incarnation;
+        let is_due = self.readings.is_multiple_of(READINGS_BETWEEN_MOVES);
+        if !is_own || !is_due && self.given_epoch != Some(old.epoch) {
+            return None;
+        }
+        let others = table.rows.iter().enumerate();
+        let mut others = others.filter(|(host, row)| *host != self.host && row.is_some());
+        let (host, row) = others.next_back()?;
+        self.given_epoch = Some(old.epoch);
+        self.held_epoch = None;
+        Some(Operation::Take {
+            epoch: old.epoch,
+            row: None,
+            holder: Holder {
+                host,
+                incarnation: row.as_ref()?.stamp.incarnation,
+                epoch: old.epoch + 1,
+            },
+        })
+    }
+
     fn take(&self, now: MonotonicTime, members: &MemberSet, table: &Table) -> Option<Operation> {
         let old = &table.holder;
         let holder = Holder {
