Refuse lease times that break the taker's rule

Cause: a settings file could name times under which a member in doubt counts as renewing, or a lease ends before vouching can begin. Conclusion: what other hosts use is still not seen.

--- a/crates/mangostep-daemon/tests/settings.rs
+++ b/crates/mangostep-daemon/tests/settings.rs
@@ -15,6 +15,7 @@
         ("lookup_keep_ms", "0"),
         ("replay_bytes", "999999999999"),
         ("front", "\"nowhere\""),
+        ("lease", "{ \"doubt_after_ms\": 3000 }"),
         ("frontt", "1"),
     ] {
         let fault = read(&format!("{{ {base}, \"{field}\": {value} }}")).unwrap_err();
--- a/crates/mangostep-policy/tests/lease_model/main.rs
+++ b/crates/mangostep-policy/tests/lease_model/main.rs
@@ -8,6 +8,7 @@
 
 mod faults;
 mod process;
+mod run;
 mod table;
 mod world;
 
@@ -15,7 +16,10 @@
 
 use mangostep_policy::LeaseRules;
 
-use crate::world::{RunResult, RunSettings, World};
+use crate::{
+    run::{RunResult, RunSettings},
+    world::World,
+};
 
 /// Seeds of the runs with all clauses in force.
 const SEEDS: std::ops::Range<u64> = 0..300;
