Make the test of a frozen home find a home that gives while lapsed

Cause: with the check of the standing taken out, the test still passed: keyed requests are refused by freshness first, and drained homes hide three tokens more. Change: it uses an open route, queues 30 requests at the frozen host, and lets the other homes fill before the wake. TokenLog reads open routes too.

--- a/crates/standins/src/tokens.rs
+++ b/crates/standins/src/tokens.rs
@@ -35,8 +35,17 @@
 impl TokenLog {
     /// Makes an empty log for a workspace.
     pub fn of_workspace(workspace: &str) -> Self {
+        TokenLog::of_name(format!("w:{workspace}"))
+    }
+
+    /// Makes an empty log for an open route.
+    pub fn of_route(route: &str) -> Self {
+        TokenLog::of_name(format!("r:{route}"))
+    }
+
+    fn of_name(name: String) -> Self {
         TokenLog {
-            name: format!("w:{workspace}"),
+            name,
             read: HashMap::new(),
             taken_us: Vec::new(),
             missed: 0,
--- a/crates/standins/tests/limits/main.rs
+++ b/crates/standins/tests/limits/main.rs
@@ -106,14 +106,30 @@
         .expect("client")
 }
 
+/// Sends requests of workspace `north`.
+async fn send(
+    fleet: &TestFleet,
+    log: &mut TokenLog,
+    hosts: &[usize],
+    rate_per_s: f64,
+    span: Duration,
+) -> Result<Vec<LoadReport>, StandinError> {
+    let request = LoadRequest {
+        key: NORTH_KEY.to_owned(),
+        ..Default::default()
+    };
+    send_request(fleet, log, hosts, rate_per_s, span, &request).await
+}
+
 /// Sends to some hosts at once, an equal part of the rate to each, and reads
 /// the tokens taken at those meanwhile.
-async fn send(
+async fn send_request(
     fleet: &TestFleet,
     log: &mut TokenLog,
     hosts: &[usize],
     rate_per_s: f64,
     span: Duration,
+    request: &LoadRequest,
 ) -> Result<Vec<LoadReport>, StandinError> {
     let loads = hosts.iter().map(|host| {
         run_load(LoadSettings {
@@ -121,10 +137,7 @@
             look_up: false,
             rate_per_s: rate_per_s / hosts.len() as f64,
             duration: span,
-            requests: vec![LoadRequest {
-                key: NORTH_KEY.to_owned(),
-                ..Default::default()
-            }],
+            requests: vec![request.clone()],
             seed: *host as u64,
             ..Default::default()
         })
@@ -244,13 +257,20 @@
 #[tokio::test]
 async fn a_home_frozen_past_its_lease_adds_nothing() -> TestResult {
     let mut fleet = open_three(RATE_PER_S, BURST).await?;
-    let mut log = TokenLog::of_workspace("north");
+    // An open route, since keyed requests are refused by freshness before a
+    // lapsed home is asked for anything.
+    let mut log = TokenLog::of_route("open");
+    let request = LoadRequest {
+        path: "/open/1".to_owned(),
+        ..Default::default()
+    };
     let rate = 5.0 * RATE_PER_S as f64;
-    send(&fleet, &mut log, &[0, 1, 2], rate, Duration::from_secs(2)).await?;
+    let second = Duration::from_secs(1);
+    send_request(&fleet, &mut log, &[0, 1, 2], rate, 2 * second, &request).await?;
     fleet.hosts[0].signal(ProcessSignal::Stop);
     let start = Instant::now();
     loop {
-        send(&fleet, &mut log, &[1, 2], rate, Duration::from_secs(1)).await?;
+        send_request(&fleet, &mut log, &[1, 2], rate, second, &request).await?;
         let mut held = 0;
         for host in &fleet.hosts[1..] {
             held += homes_held(host.addresses().operator).await;
@@ -263,8 +283,24 @@
             "{held} homes after the freeze"
         );
     }
+    // These wait in the frozen host's listener, and are the first that it
+    // sees when it wakes.
+    let queued: Vec<_> = (0..30)
+        .map(|_| fleet.caller(0, ""))
+        .collect::<Result<_, _>>()?;
+    let queued = queued
+        .into_iter()
+        .map(|caller| tokio::spawn(async move { caller.get("/open/1").await }));
+    let queued: Vec<_> = queued.collect();
+    // A quiet second, so that the other homes are full at the wake and any
+    // token more goes over the burst.
+    tokio::time::sleep(second).await;
     fleet.hosts[0].signal(ProcessSignal::Continue);
-    send(&fleet, &mut log, &[0, 1, 2], rate, Duration::from_secs(4)).await?;
+    send_request(&fleet, &mut log, &[0, 1, 2], rate, 4 * second, &request).await?;
+    for waiting in queued {
+        // What came of it does not matter.
+        let _ = waiting.await?;
+    }
     check_windows(&log, RATE_PER_S, BURST);
     fleet.close().await;
     Ok(())
