Tell how long an entry host waits for a core, and let cells settle

Change: host_run_delay from the kernel's counters; 3 s to settle. Conclusion: the p99 bound is open; it needs a run on a quiet machine.

--- a/crates/standins/src/experiments/path_overhead.rs
+++ b/crates/standins/src/experiments/path_overhead.rs
@@ -30,10 +30,12 @@
     let through = fleet.hosts[0].addresses().front;
     let direct = fleet.servers[0].address();
     steady(through, WARM_UP, settings.seed).await?;
+    let before = ProcessUsage::of(fleet.hosts[0].pid())?;
     let (direct, through) = tokio::try_join!(
         steady(direct, STEADY, settings.seed + 1),
         steady(through, STEADY, settings.seed + 2),
     )?;
+    let after = ProcessUsage::of(fleet.hosts[0].pid())?;
     let mut figures = Figures::default();
     let added = |quantile| through.total.latency_ms(quantile) - direct.total.latency_ms(quantile);
     figures.push(
@@ -52,6 +54,10 @@
     figures.push("added_p99", added(0.99), "ms", Bound::AtMost(ADDED_P99_MS));
     let unserved = through.total.sent - through.total.served;
     figures.push("unserved", unserved as f64, "requests", Bound::AtMost(0.0));
+    // Of a busy machine, not of the host: time without a core.
+    let waited = (after.run_delay - before.run_delay).as_secs_f64() * 1000.0;
+    let by_request = waited / through.total.sent.max(1) as f64;
+    figures.push("host_run_delay", by_request, "ms/request", Bound::None);
     figures.push("load_average", load_average(), "threads", Bound::None);
     saturate(&fleet, &mut figures).await?;
     fleet.close().await;
--- a/crates/standins/src/experiments/slopes/objects.rs
+++ b/crates/standins/src/experiments/slopes/objects.rs
@@ -19,6 +19,7 @@
 const SERVICES_KEPT: usize = 3;
 
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(20);
+const SETTLE: Duration = Duration::from_secs(3);
 const IDLE: Duration = Duration::from_secs(2);
 
 /// Seconds in which a configuration must be in force everywhere.
@@ -139,6 +140,8 @@
             ..Default::default()
         };
         publish(fleet, &generate_objects(counts, seed)).await?;
+        // Cells and homes change hands after a change of the set.
+        tokio::time::sleep(SETTLE).await;
         let counts_of = |counts: &crate::platform::PlatformCounts| {
             let client = counts.clients.get(host.name());
             client.map_or(0, |client| client.listings)
--- a/crates/standins/src/usage.rs
+++ b/crates/standins/src/usage.rs
@@ -7,6 +7,8 @@
 pub struct ProcessUsage {
     /// Processor time of all its threads since its start.
     pub cpu: Duration,
+    /// Time that its threads were ready to run and waited for a core.
+    pub run_delay: Duration,
     /// Resident memory, in bytes.
     pub resident_bytes: u64,
     /// Largest resident memory since its start, in bytes.
@@ -21,12 +23,14 @@
     /// Fails when there is no such process.
     pub fn of(pid: u32) -> Result<Self, StandinError> {
         let failed = |err| StandinError::new("read usage", pid, err);
-        let mut cpu_ns = 0;
+        let (mut cpu_ns, mut delay_ns) = (0, 0);
         for task in fs::read_dir(format!("/proc/{pid}/task")).map_err(failed)? {
             let path = task.map_err(failed)?.path().join("schedstat");
             // A thread may end while the others are read.
             let text = fs::read_to_string(path).unwrap_or_default();
             cpu_ns += first_number(&text);
+            let (_, delay) = text.split_once(' ').unwrap_or_default();
+            delay_ns += first_number(delay);
         }
         let status = fs::read_to_string(format!("/proc/{pid}/status")).map_err(failed)?;
         let kilobytes = |field| {
@@ -35,6 +39,7 @@
         };
         Ok(ProcessUsage {
             cpu: Duration::from_nanos(cpu_ns),
+            run_delay: Duration::from_nanos(delay_ns),
             resident_bytes: kilobytes("VmRSS:") * 1024,
             peak_bytes: kilobytes("VmHWM:") * 1024,
         })
