Tell measured values where the target size was measured

Cause: a line through noisy points told 466 ns for a key check that was measured at 157 ns at the very size.

--- a/crates/standins/src/experiments/slopes/line.rs
+++ b/crates/standins/src/experiments/slopes/line.rs
@@ -25,11 +25,15 @@
         (mean_y - slope * mean_x, slope)
     }
 
-    /// Value at a target size, worked out from the line.
+    /// Value at a target size: the measured one, or else from the line.
     ///
     /// Where the line falls, it is the largest value that was measured: a
     /// cost is not taken to go away with size.
     pub(crate) fn at(&self, target: f64) -> f64 {
+        let measured = self.points.iter().find(|(size, _)| *size == target);
+        if let Some((_, value)) = measured {
+            return *value;
+        }
         let (base, slope) = self.fit();
         if slope > 0.0 {
             return base + slope * target;
