Draw the inputs of property tests alike at every run

Ruled out: committed corpora (thousands of files), and the seed variable (one input). Change: a generator draws each input from its number and runs under the exhaustive engine; the counts stay, and a failure prints its input.

--- a/crates/mangostep-daemon/tests/settings.rs
+++ b/crates/mangostep-daemon/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry host: what is wrong is named.
 
 use mangostep_daemon::ServeSettings;
+use mangostep_testing::seeded;
 
 fn read(text: &str) -> Result<ServeSettings, String> {
     ServeSettings::from_text("host.jsonc", text)
@@ -29,7 +30,8 @@
 #[test]
 fn any_text_is_read_or_refused() {
     bolero::check!()
-        .with_type::<String>()
+        .exhaustive()
+        .with_generator(seeded::<String>(2000))
         .for_each(|text: &String| {
             if let Ok(settings) = read(text) {
                 assert!(!settings.fleet.is_empty());
--- a/crates/mangostep-objects/tests/objects.rs
+++ b/crates/mangostep-objects/tests/objects.rs
@@ -1,6 +1,7 @@
 //! Faults in objects are told with file, object, field and line, all at once.
 
 use mangostep_objects::{KeyDigest, ObjectSet, Snapshot};
+use mangostep_testing::seeded;
 
 fn faults(text: &str) -> Vec<String> {
     let err = ObjectSet::from_files([("o.jsonc", text)]).unwrap_err();
@@ -113,7 +114,8 @@
 #[test]
 fn any_text_gives_objects_or_faults() {
     bolero::check!()
-        .with_type::<String>()
+        .exhaustive()
+        .with_generator(seeded::<String>(2000))
         .for_each(|text: &String| {
             if let Err(err) = ObjectSet::from_files([("f", text.as_str())]) {
                 assert!(!err.faults().is_empty());
--- a/crates/mangostep-objects/tests/paths.rs
+++ b/crates/mangostep-objects/tests/paths.rs
@@ -1,6 +1,7 @@
 //! Paths that try to get past the route they match.
 
 use mangostep_objects::{NormalPath, ObjectSet, Snapshot, normalize_host};
+use mangostep_testing::seeded;
 
 fn snapshot() -> Snapshot {
     let text = r#"{ "objects": [
@@ -95,7 +96,8 @@
 #[test]
 fn any_path_normalises_once_and_stays() {
     bolero::check!()
-        .with_type::<String>()
+        .exhaustive()
+        .with_generator(seeded::<String>(2000))
         .for_each(|raw: &String| {
             let Some(path) = NormalPath::parse(&format!("/{raw}")) else {
                 return;
--- a/crates/mangostep-policy/tests/detection.rs
+++ b/crates/mangostep-policy/tests/detection.rs
@@ -1,5 +1,6 @@
 //! What holds of the detector for any stream of outcomes.
 
+use mangostep_testing::seeded_with;
 use std::{collections::BTreeMap, time::Duration};
 
 use {
@@ -69,9 +70,8 @@
 #[test]
 fn ejections_stay_under_half_and_alternate_with_trials() {
     check!()
-        .with_iterations(300)
-        .with_max_len(512)
-        .with_type::<Vec<SampleRun>>()
+        .exhaustive()
+        .with_generator(seeded_with::<Vec<SampleRun>>(300, 512))
         .for_each(|runs| check_verdicts(&feed(runs, None)));
 }
 
@@ -99,9 +99,8 @@
 #[test]
 fn good_answers_of_like_latency_lead_to_no_verdict() {
     check!()
-        .with_iterations(300)
-        .with_max_len(512)
-        .with_type::<Vec<SampleRun>>()
+        .exhaustive()
+        .with_generator(seeded_with::<Vec<SampleRun>>(300, 512))
         .for_each(|runs| {
             let runs: Vec<_> = runs
                 .iter()
@@ -122,9 +121,8 @@
         OutcomeKind::Unused,
     ];
     check!()
-        .with_iterations(300)
-        .with_max_len(512)
-        .with_type::<Vec<SampleRun>>()
+        .exhaustive()
+        .with_generator(seeded_with::<Vec<SampleRun>>(300, 512))
         .for_each(|runs| {
             for kind in kinds {
                 assert_eq!(feed(runs, Some(kind)), []);
--- a/crates/mangostep-policy/tests/ejection_floor.rs
+++ b/crates/mangostep-policy/tests/ejection_floor.rs
@@ -1,5 +1,6 @@
 //! The floor holds whatever is asked, renewed or lost.
 
+use mangostep_testing::seeded;
 use std::{collections::BTreeMap, time::Duration};
 
 use {
@@ -65,8 +66,8 @@
 #[test]
 fn ejections_never_take_servers_in_use_below_the_floor() {
     check!()
-        .with_type::<Vec<Step>>()
-        .with_iterations(20_000)
+        .exhaustive()
+        .with_generator(seeded::<Vec<Step>>(20_000))
         .for_each(|steps| run(steps));
 }
 
--- a/crates/mangostep-policy/tests/retry.rs
+++ b/crates/mangostep-policy/tests/retry.rs
@@ -1,5 +1,6 @@
 //! What holds of retries for any sequence of tries.
 
+use mangostep_testing::seeded;
 use {
     bolero::{TypeGenerator, check},
     mangostep_objects::RequestKind,
@@ -29,8 +30,8 @@
 #[test]
 fn nothing_runs_twice_and_not_run_is_true() {
     check!()
-        .with_iterations(20_000)
-        .with_type::<TrySequence>()
+        .exhaustive()
+        .with_generator(seeded::<TrySequence>(20_000))
         .for_each(check_sequence);
 }
 
--- a/crates/mangostep-policy/tests/slot_keeper.rs
+++ b/crates/mangostep-policy/tests/slot_keeper.rs
@@ -1,5 +1,6 @@
 //! Properties of the slot keeper under arbitrary events.
 
+use mangostep_testing::seeded;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -347,8 +348,8 @@
 #[test]
 fn slots_and_answers_hold_under_arbitrary_events() {
     check!()
-        .with_type::<Vec<Step>>()
-        .with_iterations(4000)
+        .exhaustive()
+        .with_generator(seeded::<Vec<Step>>(4000))
         .for_each(|steps| run(steps));
 }
 
--- a/crates/mangostep-policy/tests/trace_parser.rs
+++ b/crates/mangostep-policy/tests/trace_parser.rs
@@ -1,5 +1,6 @@
 //! Traces come from outside: no text may break the parser or the replay.
 
+use mangostep_testing::seeded;
 use {bolero::check, mangostep_policy::replay::Trace};
 
 const HEADERS: [&str; 2] = [
@@ -9,24 +10,27 @@
 
 #[test]
 fn any_text_is_read_or_refused() {
-    check!().with_iterations(20_000).for_each(|bytes: &[u8]| {
-        let text = String::from_utf8_lossy(bytes);
-        if let Ok(trace) = Trace::parse("fuzz", &text) {
-            trace.replay();
-        }
-        for header in HEADERS {
-            if let Ok(trace) = Trace::parse("fuzz", &format!("{header}\n{text}")) {
+    check!()
+        .exhaustive()
+        .with_generator(seeded::<Vec<u8>>(20_000))
+        .for_each(|bytes: &Vec<u8>| {
+            let text = String::from_utf8_lossy(bytes);
+            if let Ok(trace) = Trace::parse("fuzz", &text) {
                 trace.replay();
             }
-        }
-    });
+            for header in HEADERS {
+                if let Ok(trace) = Trace::parse("fuzz", &format!("{header}\n{text}")) {
+                    trace.replay();
+                }
+            }
+        });
 }
 
 #[test]
 fn any_numbers_are_replayed() {
     check!()
-        .with_iterations(5_000)
-        .with_type::<Vec<(u64, u64, u64, bool)>>()
+        .exhaustive()
+        .with_generator(seeded::<Vec<(u64, u64, u64, bool)>>(5_000))
         .for_each(|events| {
             let mut text = HEADERS[0].to_owned();
             let mut at = 0_u64;
--- a/crates/mangostep-wire/tests/hostile.rs
+++ b/crates/mangostep-wire/tests/hostile.rs
@@ -1,5 +1,6 @@
 //! Bytes from outside give messages or errors, never a panic.
 
+use mangostep_testing::seeded;
 use {
     capnp::{
         message::{Builder, HeapAllocator, ReaderOptions},
@@ -44,7 +45,8 @@
 #[test]
 fn any_bytes_are_read_or_refused() {
     bolero::check!()
-        .with_type::<Vec<u8>>()
+        .exhaustive()
+        .with_generator(seeded::<Vec<u8>>(2000))
         .for_each(|bytes: &Vec<u8>| {
             // What it is read as does not matter, only that it ends.
             let _ = read_all(bytes);
@@ -56,7 +58,8 @@
     let good = good_message();
     assert!(read_all(&good).is_ok());
     bolero::check!()
-        .with_type::<Vec<(u8, u8)>>()
+        .exhaustive()
+        .with_generator(seeded::<Vec<(u8, u8)>>(2000))
         .for_each(|changes: &Vec<(u8, u8)>| {
             let mut bytes = good.clone();
             for (place, value) in changes {
