Count members alone in publish, and name shared state plainly

Cause: publish counted rows of hosts that died long ago for its majority and waited for them; two types were named after a piece of furniture; the platform client wrote one call four times (duplicates). Ruled out: removing dead rows sooner (a host that was cut off needs its row). Change: the member set decides who counts; SharedLease and CurrentPublication; one function sends a call. Conclusion: behaviour is unchanged for live members.

--- a/crates/mangostep-daemon/src/context.rs
+++ b/crates/mangostep-daemon/src/context.rs
@@ -17,8 +17,8 @@
 };
 
 use crate::{
-    clock::HostClock, lease_desk::LeaseDesk, prelude::*, published::PublishedDesk,
-    settings::ServeSettings,
+    clock::HostClock, prelude::*, published::CurrentPublication, settings::ServeSettings,
+    shared_lease::SharedLease,
 };
 
 /// What the threads of one entry host share.
@@ -44,9 +44,9 @@
     pub(crate) servers: ArcSwap<Vec<DirectoryEntry>>,
     pub(crate) standing: HostStanding,
     /// The lease that `standing` follows from.
-    pub(crate) lease: LeaseDesk,
+    pub(crate) lease: SharedLease,
     /// The configuration in force as it was published.
-    pub(crate) published: PublishedDesk,
+    pub(crate) published: CurrentPublication,
     /// Largest configuration version that the store has named.
     pub(crate) head_version: AtomicU64,
     /// Where this host is reached; set once all listeners are bound.
--- a/crates/mangostep-daemon/src/published.rs
+++ b/crates/mangostep-daemon/src/published.rs
@@ -20,11 +20,11 @@
 ///
 /// Only larger versions are put in force, whoever brings them.
 #[derive(Debug, Default)]
-pub(crate) struct PublishedDesk {
+pub(crate) struct CurrentPublication {
     current: Mutex<Option<PublishedSet>>,
 }
 
-impl PublishedDesk {
+impl CurrentPublication {
     /// The configuration in force, once there is one.
     pub(crate) fn current(&self) -> Option<PublishedSet> {
         self.current
--- a/crates/mangostep-daemon/src/lease_desk.rs
+++ b/crates/mangostep-daemon/src/shared_lease.rs
@@ -13,12 +13,12 @@
 /// Nothing on the path of a request takes its lock: requests read
 /// [`crate::context::HostStanding`], which this keeps up to date.
 #[derive(Debug)]
-pub(crate) struct LeaseDesk {
-    state: Mutex<DeskState>,
+pub(crate) struct SharedLease {
+    state: Mutex<LeaseState>,
 }
 
 #[derive(Debug)]
-struct DeskState {
+struct LeaseState {
     lease: HostLease,
     members: MemberSet,
     /// Resources that this host gave away, by the epoch it held them under.
@@ -45,21 +45,21 @@
     pub(crate) fresh_for: Duration,
 }
 
-impl LeaseDesk {
+impl SharedLease {
     pub(crate) fn new(times: LeaseTimes, started: MonotonicTime) -> Self {
-        let state = DeskState {
+        let state = LeaseState {
             lease: HostLease::new(times, started),
             members: MemberSet::default(),
             given: HashMap::new(),
             doubters: HashMap::new(),
             shown: Standing::Lapsed,
         };
-        LeaseDesk {
+        SharedLease {
             state: Mutex::new(state),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, DeskState> {
+    fn lock(&self) -> MutexGuard<'_, LeaseState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -152,7 +152,7 @@
             version: answer.version,
         };
         state.doubters.insert(answer.host.clone(), doubter);
-        let DeskState { lease, members, .. } = &mut *state;
+        let LeaseState { lease, members, .. } = &mut *state;
         lease.extend(now, &context.settings.host, members);
         if let Some(until) = state.fresh_until(context, now) {
             context.standing.extend_fresh_until(until);
@@ -176,7 +176,7 @@
     }
 }
 
-impl DeskState {
+impl LeaseState {
     /// Until when a majority of members in doubt knows no larger version.
     fn fresh_until(&self, context: &HostContext, now: MonotonicTime) -> Option<MonotonicTime> {
         let own_version = context.snapshot.load().version();
--- a/crates/mangostep-daemon/src/vouching/mod.rs
+++ b/crates/mangostep-daemon/src/vouching/mod.rs
@@ -8,7 +8,7 @@
 
 use mangostep_policy::Standing;
 
-use crate::{lease_desk::MemberAnswer, peer::PeerLinks, prelude::*, relay::RelayDuty};
+use crate::{peer::PeerLinks, prelude::*, relay::RelayDuty, shared_lease::MemberAnswer};
 
 /// How often a host that holds its lease looks at its standing.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
--- a/crates/mangostep-platform/src/client.rs
+++ b/crates/mangostep-platform/src/client.rs
@@ -1,7 +1,7 @@
 use std::{net::IpAddr, time::Duration};
 
 use {
-    reqwest::{Client, StatusCode},
+    reqwest::{Client, RequestBuilder, Response, StatusCode},
     serde::{Deserialize, Serialize},
     serde_with::{DurationMilliSeconds, serde_as},
 };
@@ -79,6 +79,22 @@
         Ok(PlatformClient { http, settings })
     }
 
+    /// Sends one call within its deadline.
+    async fn send(
+        &self,
+        step: &'static str,
+        peer: &str,
+        timeout: Duration,
+        request: RequestBuilder,
+    ) -> Result<Response, PlatformError> {
+        request
+            .header(CLIENT_HEADER, &self.settings.client)
+            .timeout(timeout)
+            .send()
+            .await
+            .map_err(|err| Self::failed(step, peer, err))
+    }
+
     fn failed(step: &'static str, peer: &str, err: reqwest::Error) -> PlatformError {
         let unsent = err.is_connect() || err.is_builder();
         PlatformError::new(step, peer, unsent, err.without_url())
@@ -87,51 +103,40 @@
 
 impl TableStore for PlatformClient {
     async fn transact(&self, transaction: &Transaction) -> Result<TableAnswer, PlatformError> {
-        let peer = &self.settings.table;
-        let failed = |err| Self::failed("transact", peer, err);
-        let answer = self
+        let (step, peer) = ("transact", &self.settings.table);
+        let failed = |err| Self::failed(step, peer, err);
+        let request = self
             .http
             .post(format!("{peer}/table/transact"))
-            .header(CLIENT_HEADER, &self.settings.client)
-            .timeout(self.settings.call_timeout)
-            .json(transaction)
-            .send()
-            .await
-            .map_err(failed)?
-            .error_for_status()
-            .map_err(failed)?;
+            .json(transaction);
+        let answer = self
+            .send(step, peer, self.settings.call_timeout, request)
+            .await?;
+        let answer = answer.error_for_status().map_err(failed)?;
         answer.json().await.map_err(failed)
     }
 }
 
 impl ObjectStore for PlatformClient {
     async fn put(&self, name: &str, body: Vec<u8>) -> Result<(), PlatformError> {
-        let peer = &self.settings.objects;
-        let failed = |err| Self::failed("put object", peer, err);
-        self.http
-            .put(format!("{peer}/objects/{name}"))
-            .header(CLIENT_HEADER, &self.settings.client)
-            .timeout(self.settings.object_timeout)
-            .body(body)
-            .send()
-            .await
-            .map_err(failed)?
-            .error_for_status()
-            .map_err(failed)?;
-        Ok(())
+        let (step, peer) = ("put object", &self.settings.objects);
+        let request = self.http.put(format!("{peer}/objects/{name}")).body(body);
+        let answer = self
+            .send(step, peer, self.settings.object_timeout, request)
+            .await?;
+        let answer = answer.error_for_status();
+        answer
+            .map(drop)
+            .map_err(|err| Self::failed(step, peer, err))
     }
 
     async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
-        let peer = &self.settings.objects;
-        let failed = |err| Self::failed("get object", peer, err);
+        let (step, peer) = ("get object", &self.settings.objects);
+        let failed = |err| Self::failed(step, peer, err);
+        let request = self.http.get(format!("{peer}/objects/{name}"));
         let answer = self
-            .http
-            .get(format!("{peer}/objects/{name}"))
-            .header(CLIENT_HEADER, &self.settings.client)
-            .timeout(self.settings.object_timeout)
-            .send()
-            .await
-            .map_err(failed)?;
+            .send(step, peer, self.settings.object_timeout, request)
+            .await?;
         if answer.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -143,18 +148,13 @@
 
 impl HostDirectory for PlatformClient {
     async fn list(&self, service: &str) -> Result<Vec<DirectoryEntry>, PlatformError> {
-        let peer = &self.settings.directory;
-        let failed = |err| Self::failed("list directory", peer, err);
+        let (step, peer) = ("list directory", &self.settings.directory);
+        let failed = |err| Self::failed(step, peer, err);
+        let request = self.http.get(format!("{peer}/directory/{service}"));
         let answer = self
-            .http
-            .get(format!("{peer}/directory/{service}"))
-            .header(CLIENT_HEADER, &self.settings.client)
-            .timeout(self.settings.call_timeout)
-            .send()
-            .await
-            .map_err(failed)?
-            .error_for_status()
-            .map_err(failed)?;
+            .send(step, peer, self.settings.call_timeout, request)
+            .await?;
+        let answer = answer.error_for_status().map_err(failed)?;
         answer.json().await.map_err(failed)
     }
 }
--- a/crates/mangostep/src/fleet_access.rs
+++ b/crates/mangostep/src/fleet_access.rs
@@ -4,6 +4,7 @@
     mangostep_platform::{
         HostRow, PlatformClient, PlatformSettings, TableStore, Transaction, keys,
     },
+    mangostep_policy::MemberSet,
     pico_args::Arguments,
     serde::Deserialize,
 };
@@ -95,6 +96,36 @@
             .collect()
     }
 
+    /// Reads the member set together with the rows of all hosts.
+    pub(crate) async fn member_rows(&self) -> Result<MemberRows, CommandError> {
+        let fleet = &self.settings.fleet;
+        let key = keys::members(fleet);
+        let read = Transaction {
+            reads: vec![key.clone()],
+            prefixes: vec![keys::hosts(fleet)],
+            ..Default::default()
+        };
+        let failed = |err: &dyn std::fmt::Display| CommandError::failed("read member rows", err);
+        let answer = self
+            .client
+            .transact(&read)
+            .await
+            .map_err(|err| failed(&err))?;
+        let mut set = MemberSet::default();
+        let mut hosts = Vec::new();
+        for row in &answer.rows {
+            let Some(text) = row.value.as_deref() else {
+                continue;
+            };
+            if row.key == key {
+                set = serde_json::from_str(text).map_err(|err| failed(&err))?;
+            } else {
+                hosts.push(HostRow::parse(text).map_err(|err| failed(&err))?);
+            }
+        }
+        Ok(MemberRows { set, hosts })
+    }
+
     /// The operator addresses of all hosts: from their rows, or those that
     /// the operator named when the platform is away.
     pub(crate) async fn operator_addresses(&self) -> Result<Vec<HostAddress>, CommandError> {
@@ -144,6 +175,21 @@
     }
 }
 
+/// The member set and the rows of all hosts, read at one instant.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberRows {
+    /// Its version is 0 before the first set.
+    pub(crate) set: MemberSet,
+    pub(crate) hosts: Vec<HostRow>,
+}
+
+impl MemberRows {
+    /// Whether a host counts; before the first set every host does.
+    pub(crate) fn counts(&self, host: &str) -> bool {
+        self.set.version() == 0 || self.set.contains(host)
+    }
+}
+
 /// A host that operators can ask.
 #[derive(Clone, Debug)]
 pub(crate) struct HostAddress {
--- a/crates/mangostep/src/publish.rs
+++ b/crates/mangostep/src/publish.rs
@@ -15,7 +15,7 @@
 use crate::{
     check::{count_text, read_set},
     command::{CommandError, free_arguments, run_async},
-    fleet_access::FleetAccess,
+    fleet_access::{FleetAccess, MemberRows},
 };
 
 pub(crate) const USAGE: &str = "\
@@ -146,30 +146,29 @@
     }
 }
 
-/// Fails unless a majority of hosts is seen to renew its rows.
+/// Fails unless a majority of the members is seen to renew its rows.
 ///
 /// A set that no host learns of would be accepted and not be in force.
 async fn require_majority(access: &FleetAccess) -> Result<(), CommandError> {
-    let first = numbers_of(&access.host_rows().await?);
+    let first = numbers_of(&access.member_rows().await?);
     let started = Instant::now();
     let mut renewing = BTreeSet::new();
     loop {
         tokio::time::sleep(READING_PAUSE).await;
-        for row in access.host_rows().await? {
-            let renewed = first
-                .get(&row.host)
-                .is_none_or(|number| row.number > *number);
-            if renewed {
-                renewing.insert(row.host);
+        let rows = access.member_rows().await?;
+        let numbers = numbers_of(&rows);
+        for (host, number) in &numbers {
+            if first.get(host).is_none_or(|before| number > before) {
+                renewing.insert(host.clone());
             }
         }
-        let total = first.len().max(renewing.len());
+        let total = numbers.len().max(rows.set.members().len());
         if renewing.len() * 2 > total {
             return Ok(());
         }
         if started.elapsed() > RENEWAL_SEEN {
             return Err(CommandError::Failed(format!(
-                "refused: {} of {total} hosts are seen to renew, which is no majority; nothing \
+                "refused: {} of {total} members are seen to renew, which is no majority; nothing \
                  was changed (--without-hosts publishes all the same)",
                 renewing.len()
             )));
@@ -177,13 +176,16 @@
     }
 }
 
-fn numbers_of(rows: &[HostRow]) -> BTreeMap<String, u64> {
-    rows.iter()
-        .map(|row| (row.host.clone(), row.number))
-        .collect()
+/// The numbers of the latest renewals of the hosts that count.
+fn numbers_of(rows: &MemberRows) -> BTreeMap<String, u64> {
+    let counted = rows.hosts.iter().filter(|row| rows.counts(&row.host));
+    counted.map(|row| (row.host.clone(), row.number)).collect()
 }
 
 /// Shows how many hosts have the version in force, until all have.
+///
+/// Rows of hosts that are no members are old ones, or of hosts that will read
+/// the version when they join.
 async fn wait_until_in_force(
     access: &FleetAccess,
     options: &PublishOptions,
@@ -192,15 +194,24 @@
     let started = Instant::now();
     let mut first_numbers = BTreeMap::new();
     loop {
-        if let Ok(rows) = access.host_rows().await {
+        if let Ok(rows) = access.member_rows().await {
             if first_numbers.is_empty() {
                 first_numbers = numbers_of(&rows);
             }
-            let lagging: Vec<&HostRow> = rows.iter().filter(|row| row.version < version).collect();
+            let counted: Vec<&HostRow> = rows
+                .hosts
+                .iter()
+                .filter(|row| rows.counts(&row.host))
+                .collect();
+            let lagging: Vec<&HostRow> = counted
+                .iter()
+                .copied()
+                .filter(|row| row.version < version)
+                .collect();
             eprintln!(
                 "in force on {} of {} hosts",
-                rows.len() - lagging.len(),
-                rows.len()
+                counted.len() - lagging.len(),
+                counted.len()
             );
             if lagging.is_empty() {
                 println!(
