--- a/crates/standins/tests/slots.rs
+++ b/crates/standins/tests/slots.rs
@@ -282,6 +282,7 @@
     })
     .await?;
     let gap = longest_gap(&load.close().await?);
+    println!("keeper leaves: longest time without a served lookup {gap:?}");
     for server in &fleet.servers {
         let summary = server.summary().await?;
         assert_eq!((summary.cold_concurrent_max, summary.falls), (1, 0));
@@ -336,6 +337,7 @@
     check_outcomes(RequestKind::NonIdempotent, &bookings, &records);
     assert!(bookings.iter().filter(|o| served(o)).count() > 100);
     let gap = longest_gap(&lookups);
+    println!("keeper {signal:?}: longest time without a served lookup {gap:?}");
     assert!(
         gap < deadline,
         "no lookup served for {gap:?}: {:?}",
