--- a/crates/mangostep-policy/src/detection/gray.rs
+++ b/crates/mangostep-policy/src/detection/gray.rs
@@ -7,10 +7,9 @@
     MonotonicTime, OutcomeKind, OutcomeSample, ServerAction, ServerDetector, ServerVerdict,
     detection::{
         DetectionSettings,
-        evidence::{
-            BadKind, SampleClass, ScoredSample, ServerEvidence, failure_ratio, slowness_ratio,
-        },
+        evidence::{BadKind, SampleClass, ServerEvidence, failure_ratio, slowness_ratio},
         paths::{Attribution, BadPaths, SourceMap},
+        pending::PendingSample,
         reference::{AnswerLatency, KindShares, LatencyWindow, RecentShares, medians_of_others},
         stage::{ServerStage, StageKeeper},
     },
@@ -99,14 +98,6 @@
     suspicion: Option<f64>,
 }
 
-#[derive(Clone, Debug)]
-struct PendingSample {
-    at: MonotonicTime,
-    source: String,
-    outcome: OutcomeKind,
-    latency: AnswerLatency,
-}
-
 /// What the other servers of the cell show.
 #[derive(Clone, Copy, Debug, Default)]
 struct OtherServers {
@@ -419,61 +410,6 @@
 /// A score cannot grow past this multiple of the threshold.
 const SCORE_CAP: f64 = 2.0;
 
-impl PendingSample {
-    fn scored(&self, class: SampleClass) -> ScoredSample<'_> {
-        ScoredSample {
-            source: &self.source,
-            class,
-            began: self.at - self.latency.total,
-        }
-    }
-
-    fn failure(&self) -> SampleClass {
-        match BadKind::of(self.outcome) {
-            Some(kind) => SampleClass::Bad(kind),
-            None if self.outcome == OutcomeKind::Answered => SampleClass::Good,
-            None => SampleClass::Neutral,
-        }
-    }
-
-    /// Compares the latency with that of the cell's other servers.
-    ///
-    /// A request that was given up shows a slow answer when it ran for long,
-    /// and nothing otherwise.
-    fn slowness(
-        &self,
-        reference: Option<AnswerLatency>,
-        settings: &DetectionSettings,
-    ) -> SampleClass {
-        let Some(reference) = reference else {
-            return SampleClass::Neutral;
-        };
-        let exceeds = |ratio: f64| {
-            let limit = |percentile: Duration| {
-                percentile
-                    .mul_f64(ratio)
-                    .max(percentile + settings.slow_excess)
-            };
-            self.latency.header > limit(reference.header)
-                || self.latency.total > limit(reference.total)
-        };
-        match self.outcome {
-            OutcomeKind::Answered | OutcomeKind::CallerGone | OutcomeKind::Timeout => {}
-            _ => return SampleClass::Neutral,
-        }
-        if exceeds(settings.very_slow_ratio) {
-            return SampleClass::Bad(BadKind::VerySlow);
-        }
-        if exceeds(settings.slow_ratio) {
-            return SampleClass::Bad(BadKind::Slow);
-        }
-        match self.outcome {
-            OutcomeKind::Answered => SampleClass::Good,
-            _ => SampleClass::Neutral,
-        }
-    }
-}
-
 fn latencies_of_others(own: &[Option<AnswerLatency>]) -> Vec<Option<AnswerLatency>> {
     let headers: Vec<_> = own.iter().map(|own| own.map(|own| own.header)).collect();
     let totals: Vec<_> = own.iter().map(|own| own.map(|own| own.total)).collect();
--- a/crates/mangostep-policy/src/detection/mod.rs
+++ b/crates/mangostep-policy/src/detection/mod.rs
@@ -4,6 +4,7 @@
 mod evidence;
 mod gray;
 mod paths;
+mod pending;
 mod reference;
 mod settings;
 mod stage;
