Apply a changed limit only at the homes of its shard

Cause: a host that holds many homes applied each changed limit to every home, and opened a bucket for the name there: after a set of 72,000 workspaces the peer thread of one host with all 192 homes took a whole core for over 10 s (perf: change_limit, bucket), in which it gave no tokens. Found by slopes: host_idle_cpu_by_services at 20 services 72%. Ruled out: the listing of services, 30 a second at 20 services. Change: LimitChange carries its shard. Conclusion: a name is only ever asked at homes of its own shard.

--- a/crates/mangostep-daemon/src/limits/home_table.rs
+++ b/crates/mangostep-daemon/src/limits/home_table.rs
@@ -4,6 +4,7 @@
     mangostep_objects::Snapshot,
     mangostep_policy::{
         AskEntry, FleetLimit, HandOverState, HomeKey, LimitHome, TokenFraction, TokenGrant,
+        shard_of,
     },
 };
 
@@ -49,6 +50,8 @@
 struct LimitChange {
     until: MonotonicTime,
     name: String,
+    /// Only homes of this shard ever hold the name.
+    shard: u16,
     old: Option<FleetLimit>,
     new: Option<FleetLimit>,
 }
@@ -81,7 +84,8 @@
             let counts = home.accept(now, &waiting.state, |name| fleet_limit(&snapshot, name));
             self.accepted += u64::from(counts);
         }
-        for change in self.changes.iter().filter(|change| now < change.until) {
+        let changes = self.changes.iter().filter(|change| now < change.until);
+        for change in changes.filter(|change| change.shard == key.shard) {
             home.change_limit(now, &change.name, change.old, change.new);
         }
         OpenHome {
@@ -233,7 +237,8 @@
         }
         let changes = limit_changes(&old, &self.snapshot, now + CHANGE_MEMORY);
         for change in &changes {
-            for open in self.homes.values_mut() {
+            let homes = self.homes.iter_mut();
+            for (_, open) in homes.filter(|(key, _)| key.shard == change.shard) {
                 open.home
                     .change_limit(now, &change.name, change.old, change.new);
             }
@@ -276,6 +281,7 @@
         let after = FleetLimit::of(limit);
         (before != Some(after)).then(|| LimitChange {
             until,
+            shard: shard_of(name.as_str()),
             name: name.into_string(),
             old: before,
             new: Some(after),
@@ -285,6 +291,7 @@
         let is_gone = fleet_limit(new, name.as_str()).is_none();
         is_gone.then(|| LimitChange {
             until,
+            shard: shard_of(name.as_str()),
             name: name.into_string(),
             old: Some(FleetLimit::of(limit)),
             new: None,
