Let a stand-in without work answer without waiting for a timer tick

Cause: path-overhead on a quiet machine: direct p50 1.57 ms. A zero sleep waits for the runtime's next 1 ms tick, also at each new connection. Ruled out: the load caller's pacing (a raw echo paced alike takes 0.10 ms). Change: no sleep where there is no work and no connection time.

--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -90,7 +90,9 @@
 
 async fn serve(context: Arc<BackendContext>, stream: TcpStream) {
     context.lock().log.summary.connections += 1;
-    tokio::time::sleep(Duration::from_millis(context.settings.connect_ms)).await;
+    if context.settings.connect_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(context.settings.connect_ms)).await;
+    }
     let mut stream = HttpStream::new(stream);
     // A connection that breaks is the client's affair.
     while let Ok(Some(head)) = stream.read_head().await {
--- a/crates/standins/src/backend/work.rs
+++ b/crates/standins/src/backend/work.rs
@@ -77,10 +77,12 @@
     let place = start(context, head);
     let work = work_time(context, head, fault);
     let finish = Instant::now() + work;
-    let cancelled = tokio::select! {
-        () = tokio::time::sleep_until(finish.min(end).into()) => false,
-        () = stream.closed() => true,
-    };
+    // The timer's tick is 1 ms; a request without work does not wait for it.
+    let cancelled = !work.is_zero()
+        && tokio::select! {
+            () = tokio::time::sleep_until(finish.min(end).into()) => false,
+            () = stream.closed() => true,
+        };
     drop(slot);
     context.lock().log.end(place, id, cancelled);
     if cancelled {
