Check keys again after a slow body, and refuse forms that change their method

Cause: three faults that tests with real processes showed first. A key that was withdrawn while its request's body came still ran. A body that stopped held its request without end. Rocket takes a POST whose form begins with _method=delete for a DELETE, which leads to another route and kind. Ruled out: checking the key only when a slot is granted (it is checked where the body is whole, and the way from there is bounded by the deadline); turning Rocket's rewriting off (it has no switch). Change: the key is checked again when the configuration changed meanwhile, a body has until its route's deadline (408, not run), such forms are refused (400, not run). The token and the first slot are asked for in one round between the threads, which wakes two threads less.

--- a/crates/mangostep-daemon/src/front/forward.rs
+++ b/crates/mangostep-daemon/src/front/forward.rs
@@ -15,6 +15,7 @@
         headers::{ServerHeaders, forwarded},
         running::RunningGuard,
     },
+    limits::LimitName,
     prelude::*,
     refusal::Refusal,
     slots::{OpenPermit, ServerOutcome, SlotRequest},
@@ -46,9 +47,12 @@
 }
 
 /// Sends a request to a backend server, again where its kind allows.
+///
+/// The first try takes a token of the limit, when one counts.
 pub(crate) async fn forward<'r>(
     handler: &EntryHandler,
     job: ForwardJob<'_>,
+    mut limit: Option<LimitName>,
     body: CallerBody<'r>,
     running: RunningGuard,
 ) -> Result<Response<'r>, Refusal> {
@@ -65,10 +69,11 @@
     loop {
         let (sent, replay) = split_body(&mut body);
         state.has_body = replay.is_some();
-        let failure = match answer_once(handler, job, &mut tried, sent, &running).await {
-            Ok(response) => return Ok(response),
-            Err(failure) => failure,
-        };
+        let failure =
+            match answer_once(handler, job, limit.take(), &mut tried, sent, &running).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
         state.tries = u32::try_from(tried.len()).unwrap_or(u32::MAX);
         match policy.decide(handler.context.clock.now(), &state, failure.end) {
             RetryDecision::Again { may_have_run } => {
@@ -85,11 +90,12 @@
 async fn answer_once<'r>(
     handler: &EntryHandler,
     job: ForwardJob<'_>,
+    limit: Option<LimitName>,
     tried: &mut Vec<String>,
     body: CallerBody<'r>,
     running: &RunningGuard,
 ) -> Result<Response<'r>, TryFailure> {
-    let permit = open_permit(handler, job, tried)
+    let permit = open_permit(handler, job, limit, tried)
         .await
         .map_err(|refusal| TryFailure {
             refusal,
@@ -133,6 +139,7 @@
 async fn open_permit(
     handler: &EntryHandler,
     job: ForwardJob<'_>,
+    limit: Option<LimitName>,
     tried: &[String],
 ) -> Result<OpenPermit, Refusal> {
     let request = SlotRequest {
@@ -142,7 +149,7 @@
         deadline: job.deadline,
         avoid: tried.to_vec(),
     };
-    handler.peer.open_permit(request).await
+    handler.peer.open_permit(limit, request).await
 }
 
 async fn try_once<'r>(
--- a/crates/mangostep-daemon/src/front/handler.rs
+++ b/crates/mangostep-daemon/src/front/handler.rs
@@ -44,7 +44,7 @@
     async fn serve<'r>(
         &self,
         request: &'r Request<'_>,
-        data: Data<'r>,
+        mut data: Data<'r>,
         arrival: MonotonicTime,
         labels: &mut RequestLabels,
     ) -> Result<Response<'r>, Refusal> {
@@ -64,6 +64,7 @@
         if self.context.zone_closed.load(Ordering::Acquire) {
             return Err(Refusal::not_run(503, "zone-out"));
         }
+        refuse_overridden_method(request, &mut data).await?;
         let path = NormalPath::parse(raw_path).ok_or(Refusal::not_run(400, "path-unclear"))?;
         let snapshot = self.context.snapshot.load_full();
         if snapshot.version() == 0 {
@@ -85,14 +86,18 @@
         labels.limit = limit.map(|limit| limit.name.clone()).unwrap_or_default();
         let deadline = arrival + target.route.deadline;
         let declared = declared_length(request)?;
-        let body = CallerBody::take(data, declared, &self.context).await?;
+        let left = deadline.since(self.context.clock.now());
+        let taking = CallerBody::take(data, declared, &self.context);
+        let body = tokio::time::timeout(left, taking)
+            .await
+            .map_err(|_| Refusal::not_run(408, "body-late"))??;
+        if let Some(workspace) = workspace {
+            self.check_again(&snapshot, request, workspace)?;
+        }
         let counted = match workspace {
             Some(workspace) => Some(LimitName::of_workspace(workspace)),
             None => open_limit(target.route),
         };
-        if let Some(name) = counted {
-            self.peer.admit(name, deadline).await?;
-        }
         let request_id = format!(
             "{:016x}{:016x}",
             self.context.incarnation,
@@ -106,7 +111,25 @@
             deadline,
             request_id: &request_id,
         };
-        forward(self, job, body, running).await
+        forward(self, job, counted, body, running).await
+    }
+
+    /// Checks the key anew when the configuration changed while the body
+    /// came, so that a withdrawn key is dead for slow callers too.
+    fn check_again(
+        &self,
+        before: &Snapshot,
+        request: &Request<'_>,
+        workspace: &str,
+    ) -> Result<(), Refusal> {
+        let present = self.context.snapshot.load();
+        if present.version() == before.version() {
+            return Ok(());
+        }
+        match self.workspace(&present, request)? {
+            same if same == workspace => Ok(()),
+            _ => Err(Refusal::not_run(401, "unknown-key")),
+        }
     }
 
     fn workspace<'s>(
@@ -178,6 +201,29 @@
     is_limited.then(|| LimitName::of_route(&route.name))
 }
 
+/// Refuses forms by which Rocket has changed the request's method.
+///
+/// Rocket takes a POST whose form begins with `_method` for a request of that
+/// method, so that it would take another route and could be sent again.
+async fn refuse_overridden_method(
+    request: &Request<'_>,
+    data: &mut Data<'_>,
+) -> Result<(), Refusal> {
+    /// As much as Rocket looks at.
+    const PEEKED_BYTES: usize = "_method=delete".len();
+    if !request.content_type().is_some_and(|kind| kind.is_form()) {
+        return Ok(());
+    }
+    // Rocket passes over empty fields.
+    let peeked = data.peek(PEEKED_BYTES).await;
+    let first = peeked.iter().position(|byte| *byte != b'&');
+    let form = &peeked[first.unwrap_or(peeked.len())..];
+    match form.starts_with(b"_method") {
+        true => Err(Refusal::not_run(400, "method-override")),
+        false => Ok(()),
+    }
+}
+
 /// The length of a request's body, when the caller declares it.
 fn declared_length(request: &Request<'_>) -> Result<Option<u64>, Refusal> {
     if request.headers().contains("transfer-encoding") {
--- a/crates/mangostep-daemon/src/peer/mod.rs
+++ b/crates/mangostep-daemon/src/peer/mod.rs
@@ -15,8 +15,14 @@
 };
 
 use crate::{
-    entry_host::StopPhase, limits::LimitDuty, peer::ring::PeerAsk, prelude::*, relay::RelayDuty,
-    slots::SlotDuty, vouching::VouchDuty,
+    entry_host::StopPhase,
+    limits::{LimitDuty, LimitName},
+    peer::ring::PeerAsk,
+    prelude::*,
+    refusal::Refusal,
+    relay::RelayDuty,
+    slots::{SlotDuty, SlotGrant, SlotRequest},
+    vouching::VouchDuty,
 };
 
 pub(crate) use crate::peer::{links::PeerLinks, ring::PeerRing};
@@ -58,6 +64,19 @@
     Ok((listener, bound))
 }
 
+impl PeerDuties {
+    async fn open_permit(
+        &self,
+        limit: Option<LimitName>,
+        request: SlotRequest,
+    ) -> Result<SlotGrant, Refusal> {
+        if let Some(name) = limit {
+            self.limits.admit(name, request.deadline).await?;
+        }
+        self.slots.open_permit(request).await
+    }
+}
+
 /// Starts the peer thread.
 pub(crate) fn spawn(
     context: Arc<HostContext>,
@@ -100,21 +119,14 @@
     while let Some(ask) = asks.recv().await {
         match ask {
             PeerAsk::Release(report) => duties.slots.release(report),
-            PeerAsk::Admit {
-                name,
-                deadline,
+            PeerAsk::OpenPermit {
+                limit,
+                request,
                 reply,
             } => {
                 let duties = duties.clone();
                 tokio::task::spawn_local(async move {
-                    // The asking side may have given up.
-                    let _ = reply.send(duties.limits.admit(name, deadline).await);
-                });
-            }
-            PeerAsk::OpenPermit { request, reply } => {
-                let duties = duties.clone();
-                tokio::task::spawn_local(async move {
-                    let result = duties.slots.open_permit(request).await;
+                    let result = duties.open_permit(limit, request).await;
                     if let Err(Ok(unused)) = reply.send(result) {
                         duties.slots.release(unused.into_unused());
                     }
--- a/crates/mangostep-daemon/src/peer/ring.rs
+++ b/crates/mangostep-daemon/src/peer/ring.rs
@@ -9,12 +9,10 @@
 
 /// What the front thread asks of the peer thread.
 pub(crate) enum PeerAsk {
-    Admit {
-        name: LimitName,
-        deadline: MonotonicTime,
-        reply: oneshot::Sender<Result<(), Refusal>>,
-    },
+    /// Takes a token of the limit, when one counts, and then a slot: one
+    /// round for both, since each wakes two threads.
     OpenPermit {
+        limit: Option<LimitName>,
         request: SlotRequest,
         reply: oneshot::Sender<Result<SlotGrant, Refusal>>,
     },
@@ -39,29 +37,20 @@
         &self.context
     }
 
-    /// Takes one token of a limit.
-    pub(crate) async fn admit(
+    /// Takes one token of a limit, when one counts, and then one slot of a
+    /// backend server.
+    pub(crate) async fn open_permit(
         &self,
-        name: LimitName,
-        deadline: MonotonicTime,
-    ) -> Result<(), Refusal> {
+        limit: Option<LimitName>,
+        request: SlotRequest,
+    ) -> Result<OpenPermit, Refusal> {
         let (reply, answer) = oneshot::channel();
-        let ask = PeerAsk::Admit {
-            name,
-            deadline,
+        let ask = PeerAsk::OpenPermit {
+            limit,
+            request,
             reply,
         };
         self.sender.try_send(ask).map_err(|_| RING_FULL)?;
-        answer
-            .await
-            .unwrap_or(Err(Refusal::not_run(503, "host-stopping")))
-    }
-
-    /// Takes one slot of a backend server.
-    pub(crate) async fn open_permit(&self, request: SlotRequest) -> Result<OpenPermit, Refusal> {
-        let (reply, answer) = oneshot::channel();
-        let ask = PeerAsk::OpenPermit { request, reply };
-        self.sender.try_send(ask).map_err(|_| RING_FULL)?;
         let grant = answer
             .await
             .unwrap_or(Err(Refusal::not_run(503, "host-stopping")))?;
--- a/crates/standins/tests/front.rs
+++ b/crates/standins/tests/front.rs
@@ -219,6 +219,82 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_key_withdrawn_while_its_body_comes_runs_nothing() -> TestResult {
+    let fleet = open_fleet(serde_json::json!({})).await?;
+    let mut stream = TcpStream::connect(fleet.hosts[0].addresses().front).await?;
+    let head = format!(
+        "POST /book/slow HTTP/1.1\r\nhost: h\r\nconnection: close\r\nmangostep-key: {NORTH_KEY}\r\n\
+         content-length: 40\r\n\r\n{}",
+        "a".repeat(20)
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut set = standins::fleet::basic_objects(&["a".to_owned()]);
+    set.keys.retain(|key| key.workspace != "north");
+    fleet.publish(&set).await?;
+    let other = fleet.caller(0, NORTH_KEY)?;
+    let withdrawn =
+        || async { matches!(other.get("/lookup/1").await, Ok(got) if got.status == 401) };
+    wait_until("the key is withdrawn", Duration::from_secs(5), withdrawn).await?;
+    stream.write_all(&[b'b'; 20]).await?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await?;
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    let records = fleet.records().await?;
+    assert!(records.iter().all(|run| run.path != "/book/slow"));
+    fleet.close().await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_form_does_not_change_its_method() -> TestResult {
+    let fleet = open_fleet(serde_json::json!({})).await?;
+    let caller = fleet.caller(0, NORTH_KEY)?;
+    let form = "application/x-www-form-urlencoded";
+    for body in ["_method=delete&stones=2", "&_method=get", "&&&_method=get"] {
+        let request = caller.request(reqwest::Method::POST, "/book/1");
+        let request = request.header("content-type", form).body(body);
+        let answer = caller.send(request).await?;
+        let told = (answer.status, answer.reason.as_deref());
+        assert_eq!(told, (400, Some("method-override")), "{body}");
+    }
+    let request = caller.request(reqwest::Method::POST, "/book/2");
+    let request = request
+        .header("content-type", form)
+        .body("stones=2&_method=delete");
+    assert_eq!(caller.send(request).await?.status, 200);
+    let records = fleet.records().await?;
+    let booked: Vec<_> = records
+        .iter()
+        .filter(|run| run.path.starts_with("/book"))
+        .collect();
+    assert_eq!(booked.len(), 1, "{booked:?}");
+    assert_eq!(
+        (booked[0].method.as_str(), booked[0].path.as_str()),
+        ("POST", "/book/2")
+    );
+    fleet.close().await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_body_that_does_not_come_holds_no_slot() -> TestResult {
+    let fleet = open_fleet(serde_json::json!({})).await?;
+    let request = format!(
+        "POST /book/never HTTP/1.1\r\nhost: h\r\nconnection: close\r\nmangostep-key: {NORTH_KEY}\r\n\
+         content-length: 40\r\n\r\n{}",
+        "a".repeat(20)
+    );
+    let answer = send_raw(&fleet, &request).await?;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("mangostep-outcome: not-run"), "{answer}");
+    let records = fleet.records().await?;
+    assert!(records.iter().all(|run| run.path != "/book/never"));
+    fleet.close().await;
+    Ok(())
+}
+
 async fn named_hosts(caller: &standins::fleet::Caller) -> Option<Vec<String>> {
     let answer = caller.get("/_mangostep/entry").await.ok()?;
     let told: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
