--- a/crates/mangostep-daemon/src/shared_lease.rs
+++ b/crates/mangostep-daemon/src/shared_lease.rs
@@ -26,6 +26,8 @@
     /// What the hosts said that are in doubt, by their names.
     doubters: HashMap<String, Doubter>,
     shown: Standing,
+    /// Version of the member set that operators are shown.
+    shown_members: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +55,7 @@
             given: HashMap::new(),
             doubters: HashMap::new(),
             shown: Standing::Lapsed,
+            shown_members: 0,
         };
         SharedLease {
             state: Mutex::new(state),
@@ -206,22 +209,26 @@
         let now = context.clock.now();
         context.standing.set_held_until(self.lease.standing_end());
         let standing = self.lease.standing(now);
-        if standing == self.shown {
+        let changed = standing != self.shown;
+        if !changed && self.members.version() == self.shown_members {
             return;
         }
         self.shown = standing;
+        self.shown_members = self.members.version();
         let name = match standing {
             Standing::Held => "lease-held",
             Standing::Vouched => "lease-vouched",
             Standing::Lapsed => "lease-lapsed",
         };
-        context.recorder.record(name, &[]);
         let section = serde_json::json!({
             "standing": name,
             "member_set": self.members.version(),
-            "members": self.members.members(),
+            "is_member": self.members.contains(&context.settings.host),
         });
         context.status.set("lease", section);
-        slog::info!(context.log, "standing changed"; "standing" => name);
+        if changed {
+            context.recorder.record(name, &[]);
+            slog::info!(context.log, "standing changed"; "standing" => name);
+        }
     }
 }
--- a/crates/mangostep/src/status.rs
+++ b/crates/mangostep/src/status.rs
@@ -97,11 +97,11 @@
 }
 
 fn text_line(status: &HostStatus) -> String {
-    let standing = status
-        .sections
-        .get("standing")
-        .and_then(|section| section.get("state"));
-    let standing = standing.and_then(Value::as_str);
+    let lease = status.sections.get("lease");
+    let standing = lease
+        .and_then(|section| section.get("standing"))
+        .and_then(Value::as_str)
+        .map(|name| name.trim_start_matches("lease-"));
     let fallback = if status.holds { "acts" } else { "lapsed" };
     format!(
         "{:<20} {:<16} {:>8} {:<8} {:<6} {:>8}",
