--- a/crates/mangostep-daemon/src/front/forward.rs
+++ b/crates/mangostep-daemon/src/front/forward.rs
@@ -155,7 +155,7 @@
 async fn try_once<'r>(
     handler: &EntryHandler,
     job: ForwardJob<'_>,
-    permit: OpenPermit,
+    mut permit: OpenPermit,
     body: CallerBody<'r>,
 ) -> TryResult<'r> {
     let service = job.target.service;
@@ -196,7 +196,10 @@
     }
     let answer = await_answer(answer, &mut pump, time_left).await;
     match answer {
-        Ok(answer) => judge_answer(job, answer, permit, pump),
+        Ok(answer) => {
+            permit.note_header();
+            judge_answer(job, answer, permit, pump)
+        }
         Err(BackFailure::ConnectFailed) => {
             permit.close(ServerOutcome::ConnectFailed);
             failed(Refusal::not_run(502, "connect-failed"), TryEnd::NothingSent)
--- a/crates/mangostep-daemon/src/lib.rs
+++ b/crates/mangostep-daemon/src/lib.rs
@@ -27,8 +27,6 @@
 //! assert_eq!(settings.front.port(), 8080);
 //! ```
 
-#![allow(dead_code, reason = "duties that land next use these parts")]
-
 mod back;
 mod clock;
 mod context;
--- a/crates/mangostep-daemon/src/peer/mod.rs
+++ b/crates/mangostep-daemon/src/peer/mod.rs
@@ -30,7 +30,6 @@
 /// Everything that the peer thread does; it lives on that thread alone.
 pub(crate) struct PeerDuties {
     pub(crate) context: Arc<HostContext>,
-    pub(crate) links: Rc<PeerLinks>,
     pub(crate) limits: Rc<LimitDuty>,
     pub(crate) slots: Rc<SlotDuty>,
     pub(crate) relay: Rc<RelayDuty>,
@@ -44,7 +43,6 @@
         let vouching = VouchDuty::new(context.clone(), links.clone(), relay.clone());
         Rc::new(PeerDuties {
             context: context.clone(),
-            links: links.clone(),
             relay,
             vouching: Rc::new(vouching),
             limits: LimitDuty::new(context.clone(), links.clone()),
