--- a/crates/mangostep-daemon/src/clock.rs
+++ b/crates/mangostep-daemon/src/clock.rs
@@ -7,15 +7,6 @@
 impl HostClock {
     /// The present reading.
     pub(crate) fn now(self) -> MonotonicTime {
-        let mut spec = libc::timespec {
-            tv_sec: 0,
-            tv_nsec: 0,
-        };
-        // SAFETY: `spec` is a valid timespec for the length of the call.
-        let code = unsafe { libc::clock_gettime(libc::CLOCK_BOOTTIME, &mut spec) };
-        assert_eq!(code, 0, "the boot-time clock is always there on Linux");
-        let seconds = u64::try_from(spec.tv_sec).unwrap_or(0);
-        let nanos = u64::try_from(spec.tv_nsec).unwrap_or(0);
-        MonotonicTime::from_micros(seconds * 1_000_000 + nanos / 1_000)
+        MonotonicTime::from_micros(mangostep_telemetry::boot_time_micros())
     }
 }
--- /dev/null
+++ b/crates/mangostep-entry/src/context.rs
@@ -0,0 +1,101 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+};
+
+use {
+    mangostep_objects::Snapshot,
+    mangostep_policy::{
+        ActiveWindow, HostTable, LapseRule, RetryAllowance, ServerPool, SplitTurn, TableCopy,
+        TokenLedger,
+    },
+    mangostep_telemetry::HostCounters,
+    rand::{SeedableRng, rngs::SmallRng},
+    slog::Logger,
+};
+
+use crate::{
+    back::BackPools, peers::PeerPort, platform::FleetTable, prelude::*, settings::HostSettings,
+};
+
+/// What the duties of a host share. One thread runs them all.
+pub(crate) struct HostContext {
+    pub(crate) settings: HostSettings,
+    pub(crate) log: Logger,
+    pub(crate) counters: HostCounters,
+    /// Start of this process, in milliseconds since 1970.
+    pub(crate) incarnation: u64,
+    pub(crate) snapshot: RefCell<Option<Rc<Snapshot>>>,
+    pub(crate) tables: RefCell<TableStates>,
+    pub(crate) lapse: RefCell<LapseRule>,
+    pub(crate) pool: RefCell<ServerPool>,
+    pub(crate) hosts: RefCell<HostTable>,
+    pub(crate) allowance: RefCell<RetryAllowance>,
+    pub(crate) ledger: RefCell<TokenLedger>,
+    pub(crate) splits: RefCell<HashMap<String, SplitTurn>>,
+    pub(crate) requests: RefCell<ActiveWindow>,
+    pub(crate) random: RefCell<SmallRng>,
+    pub(crate) backs: BackPools,
+    pub(crate) peers: PeerPort,
+    pub(crate) phase: Cell<HostPhase>,
+    /// Bytes of bodies that are held for requests under way.
+    pub(crate) held_bytes: Cell<u64>,
+    /// Requests under way.
+    pub(crate) held_requests: Cell<u64>,
+}
+
+/// Where a host stands between its start and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum HostPhase {
+    /// It takes callers once it knows a configuration.
+    Serving,
+    /// It was told to stop, and still serves those who come.
+    Leaving,
+    /// It takes no more requests and ends those under way.
+    Closing,
+}
+
+/// The copies of the followed tables, with digests to compare with those of
+/// other hosts.
+#[derive(Default)]
+pub(crate) struct TableStates([TableState; FleetTable::ALL.len()]);
+
+#[derive(Default)]
+pub(crate) struct TableState {
+    pub(crate) copy: TableCopy,
+    /// Combined digest of what the rows say, heartbeats aside.
+    pub(crate) digest: u64,
+    /// Whether the table was read at least once.
+    pub(crate) is_known: bool,
+}
+
+impl TableStates {
+    pub(crate) fn of(&self, table: FleetTable) -> &TableState {
+        &self.0[table.index()]
+    }
+
+    pub(crate) fn of_mut(&mut self, table: FleetTable) -> &mut TableState {
+        &mut self.0[table.index()]
+    }
+}
+
+impl HostContext {
+    /// A random source that differs from host to host.
+    pub(crate) fn random_source() -> SmallRng {
+        SmallRng::seed_from_u64(rand::random())
+    }
+
+    /// Whether this host takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase.get() == HostPhase::Serving && self.knows_enough()
+    }
+
+    /// Whether this host knows a configuration and the backend servers.
+    pub(crate) fn knows_enough(&self) -> bool {
+        self.snapshot.borrow().is_some() && self.tables.borrow().of(FleetTable::Servers).is_known
+    }
+
+    pub(crate) fn snapshot(&self) -> Option<Rc<Snapshot>> {
+        self.snapshot.borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/error.rs
@@ -0,0 +1,46 @@
+use std::{error::Error, fmt};
+
+/// A failure of an entry host, with the step and the peer at which it arose.
+#[derive(Debug)]
+pub struct EntryError {
+    step: &'static str,
+    peer: String,
+    source: Box<dyn Error + Send + Sync>,
+}
+
+impl EntryError {
+    /// Wraps the cause of a failure.
+    pub fn new(
+        step: &'static str,
+        peer: impl fmt::Display,
+        source: impl Into<Box<dyn Error + Send + Sync>>,
+    ) -> Self {
+        EntryError {
+            step,
+            peer: peer.to_string(),
+            source: source.into(),
+        }
+    }
+
+    /// The step that failed.
+    pub fn step(&self) -> &'static str {
+        self.step
+    }
+
+    /// The host, address or file at which it failed.
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+}
+
+impl fmt::Display for EntryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} at {}: {}", self.step, self.peer, self.source)
+    }
+}
+
+impl Error for EntryError {
+    fn source(&self) -> Option<&(dyn Error + 'static)> {
+        Some(&*self.source)
+    }
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -0,0 +1,182 @@
+use std::cell::Cell;
+
+use {
+    http::header,
+    mangostep_http::CallerRequest,
+    mangostep_objects::{RequestKind, Route, RouteAccess, Service, Snapshot},
+    mangostep_policy::{SplitTurn, TokenVerdict},
+    rand::RngExt,
+    slog::info,
+    tokio::time::Instant,
+};
+
+use crate::{
+    clock,
+    forward::{
+        refusal::{FrontAnswer, Refusal},
+        sending::{self, Sending},
+    },
+    peers,
+    prelude::*,
+};
+
+/// A request of a caller, with what is known of its caller.
+pub(crate) struct ForwardRequest {
+    pub(crate) request: CallerRequest,
+    pub(crate) arrived: Instant,
+    /// Set once the caller has left.
+    pub(crate) is_abandoned: Rc<Cell<bool>>,
+}
+
+/// The way that the configuration sets out for a request.
+pub(crate) struct PlannedRequest<'s> {
+    pub(crate) route: &'s Route,
+    pub(crate) service: &'s Service,
+    pub(crate) workspace: Option<&'s str>,
+    pub(crate) priority: u32,
+    pub(crate) deadline: Instant,
+}
+
+/// How a request ended, for its log line.
+#[derive(Default)]
+pub(crate) struct RequestStory {
+    pub(crate) sends: u32,
+    pub(crate) servers: String,
+    pub(crate) chance: f64,
+    pub(crate) detail: &'static str,
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn forward(context: &Rc<HostContext>, request: ForwardRequest) -> FrontAnswer {
+    context.requests.borrow_mut().add(clock::now());
+    let Some(snapshot) = context.snapshot().filter(|_| context.knows_enough()) else {
+        return Refusal::NotReady.answer();
+    };
+    let mut story = RequestStory::default();
+    let (answer, route) = match plan(context, &snapshot, &request) {
+        Ok(planned) => {
+            let answer = run(context, &snapshot, &request, &planned, &mut story).await;
+            (answer, planned.route.name.as_str())
+        }
+        Err(refusal) => (Err(refusal), ""),
+    };
+    log_end(context, &snapshot, &request, route, &answer, &story);
+    answer.unwrap_or_else(Refusal::answer)
+}
+
+/// Finds route, workspace, service and deadline of a request.
+fn plan<'s>(
+    context: &HostContext,
+    snapshot: &'s Snapshot,
+    request: &ForwardRequest,
+) -> Result<PlannedRequest<'s>, Refusal> {
+    let head = &request.request.head;
+    let host = head.text("host").unwrap_or_default();
+    let route = snapshot.literal_route(host, head.path());
+    let route = route.ok_or(Refusal::NoRoute)?;
+    let workspace = match route.access {
+        RouteAccess::Open => None,
+        RouteAccess::Keyed => {
+            let key = head.headers.get(header::AUTHORIZATION);
+            let key = key.and_then(|value| bearer_token(value.as_bytes()));
+            let name = key.and_then(|key| snapshot.workspace_of(key));
+            Some(name.ok_or(Refusal::BadKey)?)
+        }
+    };
+    if workspace.is_some_and(|name| !snapshot.may_use(route, name)) {
+        return Err(Refusal::NotGranted);
+    }
+    let service = split_service(context, route);
+    let service = snapshot.service(service).ok_or(Refusal::NoRoute)?;
+    let told = head.text(&service.dialect.deadline_header);
+    let told = told.and_then(|text| text.trim().parse().ok());
+    let span = told.map_or(route.deadline, |millis| {
+        Duration::from_millis(millis).min(route.deadline)
+    });
+    Ok(PlannedRequest {
+        route,
+        service,
+        workspace,
+        priority: snapshot.priority_of(route, workspace),
+        deadline: request.arrived + span,
+    })
+}
+
+/// The token of an `Authorization` value of the scheme `Bearer`.
+fn bearer_token(value: &[u8]) -> Option<&[u8]> {
+    let (scheme, token) = value.split_at_checked(7)?;
+    let is_bearer = scheme.eq_ignore_ascii_case(b"bearer ");
+    is_bearer.then(|| token.trim_ascii())
+}
+
+/// The service that takes the next request of a route.
+fn split_service<'r>(context: &HostContext, route: &'r Route) -> &'r str {
+    if route.split.is_empty() {
+        return &route.service;
+    }
+    let mut splits = context.splits.borrow_mut();
+    let turn = splits.entry(route.name.clone()).or_insert_with(|| {
+        let start = context.random.borrow_mut().random_range(0.0..1.0);
+        SplitTurn::open(start)
+    });
+    turn.pick(&route.split).unwrap_or(&route.service)
+}
+
+async fn run(
+    context: &Rc<HostContext>,
+    snapshot: &Snapshot,
+    request: &ForwardRequest,
+    planned: &PlannedRequest<'_>,
+    story: &mut RequestStory,
+) -> Result<FrontAnswer, Refusal> {
+    if let Some(name) = planned.workspace
+        && let Some(limit) = snapshot.limit_of(name)
+    {
+        let verdict = peers::ask_token(context, name, limit).await;
+        if let TokenVerdict::Denied(after) = verdict {
+            return Err(Refusal::OverRate(after));
+        }
+    }
+    let service = &planned.service.name;
+    context
+        .allowance
+        .borrow_mut()
+        .note_request(service, clock::now());
+    Sending::open(context, request, planned).run(story).await
+}
+
+fn log_end(
+    context: &HostContext,
+    snapshot: &Snapshot,
+    request: &ForwardRequest,
+    route: &str,
+    answer: &Result<FrontAnswer, Refusal>,
+    story: &RequestStory,
+) {
+    let outcome = match answer {
+        Ok(_) => "answered",
+        Err(refusal) => refusal.as_str(),
+    };
+    let status = answer.as_ref().map_or_else(|r| r.status(), |a| a.status);
+    context
+        .counters
+        .count("request-ended", &[("outcome", outcome)]);
+    let head = &request.request.head;
+    info!(context.log, "request ended";
+        "id" => head.text(sending::ID_HEADER).unwrap_or_default(),
+        "route" => route,
+        "version" => snapshot.version(),
+        "outcome" => outcome,
+        "status" => status.as_u16(),
+        "detail" => story.detail,
+        "sends" => story.sends,
+        "servers" => story.servers.as_str(),
+        "chance" => (story.chance * 1000.0).round() / 1000.0,
+        "ms" => request.arrived.elapsed().as_millis() as u64,
+    );
+}
+
+/// Whether a request may run more than once.
+pub(crate) fn is_idempotent(planned: &PlannedRequest<'_>) -> bool {
+    planned.route.kind == RequestKind::Idempotent
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/forward/running.rs
@@ -0,0 +1,54 @@
+use mangostep_policy::{ServerKey, ServerSignal};
+
+use crate::{clock, peers, prelude::*};
+
+/// A request at a backend server, counted from its sending to its end, also
+/// when the caller leaves midway.
+pub(crate) struct RunningRequest {
+    context: Rc<HostContext>,
+    key: ServerKey,
+    is_told: bool,
+}
+
+impl RunningRequest {
+    pub(crate) fn open(context: &Rc<HostContext>, key: ServerKey) -> Self {
+        context.pool.borrow_mut().start(key);
+        peers::tell_signal(context, key, None);
+        RunningRequest {
+            context: Rc::clone(context),
+            key,
+            is_told: false,
+        }
+    }
+
+    /// Takes note that the request should have ended by now.
+    pub(crate) fn note_stall(&self) {
+        let now = clock::now();
+        let mut pool = self.context.pool.borrow_mut();
+        pool.note(self.key, ServerSignal::Stall, now);
+        drop(pool);
+        peers::tell_signal(&self.context, self.key, Some(ServerSignal::Stall));
+    }
+
+    /// Ends the request with what it showed of the server.
+    pub(crate) fn close(mut self, signal: ServerSignal) {
+        self.end(signal);
+    }
+
+    fn end(&mut self, signal: ServerSignal) {
+        self.is_told = true;
+        let mut pool = self.context.pool.borrow_mut();
+        pool.finish(self.key);
+        pool.note(self.key, signal, clock::now());
+        drop(pool);
+        peers::tell_signal(&self.context, self.key, Some(signal));
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        if !self.is_told {
+            self.end(ServerSignal::Nothing);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -0,0 +1,331 @@
+use {
+    http::StatusCode,
+    mangostep_http::ServerAnswer,
+    mangostep_policy::{
+        ChoiceAsk, ChoiceRefusal, ServerChoice, ServerEntry, ServerKey, ServerSignal,
+    },
+    slog::warn,
+    tokio::time::Instant,
+};
+
+use crate::{
+    back::{AttemptEnd, AttemptOrder, attempt},
+    clock,
+    forward::{
+        outgoing::{OutgoingHeaders, end_to_end, outgoing_request},
+        refusal::{FrontAnswer, Refusal},
+        request::{ForwardRequest, PlannedRequest, RequestStory, is_idempotent},
+        running::RunningRequest,
+    },
+    prelude::*,
+};
+
+/// Header with the id of a request, by which its log lines are found.
+pub(crate) const ID_HEADER: &str = "x-request-id";
+
+/// Servers that may run one request where the route sets no bound.
+const ATTEMPTS: u32 = 2;
+
+/// Sends of one request, those that a server turned away included.
+const SENDS_MAX: u32 = 5;
+
+/// Times the mean length after which a request should have ended; one in a
+/// hundred sound requests takes longer.
+const STALL_FACTOR: u32 = 4;
+
+/// Shortest time after which a request counts as stalled.
+const STALL_MIN: Duration = Duration::from_millis(600);
+
+/// Time for the last answer to reach the caller before its deadline.
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+
+/// The sends of one request, until one of them gives its answer.
+pub(crate) struct Sending<'a> {
+    context: &'a Rc<HostContext>,
+    request: &'a ForwardRequest,
+    planned: &'a PlannedRequest<'a>,
+    tried: Vec<ServerKey>,
+    /// Servers that ran the request, or may have.
+    runs: u32,
+}
+
+/// What one send showed.
+enum SendEnd {
+    /// An answer for the caller.
+    Answer(Box<ServerAnswer>),
+    /// The server did not run the request.
+    NotRun(&'static str),
+    /// The server may have run it, and gave an answer of no use or none.
+    MayHaveRun(&'static str, Option<Box<ServerAnswer>>),
+}
+
+impl<'a> Sending<'a> {
+    pub(crate) fn open(
+        context: &'a Rc<HostContext>,
+        request: &'a ForwardRequest,
+        planned: &'a PlannedRequest<'a>,
+    ) -> Self {
+        Sending {
+            context,
+            request,
+            planned,
+            tried: Vec::new(),
+            runs: 0,
+        }
+    }
+
+    pub(crate) async fn run(mut self, story: &mut RequestStory) -> Result<FrontAnswer, Refusal> {
+        let mut last: Option<Box<ServerAnswer>> = None;
+        loop {
+            let choice = self.choose();
+            let (key, entry) = match choice {
+                Ok(found) => found,
+                Err((reason, after)) => {
+                    story.detail = reason.as_str();
+                    return self.give_up(last, after);
+                }
+            };
+            let is_repeat = !self.tried.is_empty();
+            if is_repeat && !self.take_repeat() {
+                story.detail = "retry budget";
+                return self.give_up(last, Duration::from_millis(500));
+            }
+            self.tried.push(key);
+            story.sends += 1;
+            if !story.servers.is_empty() {
+                story.servers.push(' ');
+            }
+            story.servers.push_str(&entry.id);
+            story.chance = self.context.pool.borrow().chance(key, clock::now());
+            let end = self.send(key, &entry).await;
+            let is_over = Instant::now() + ANSWER_MARGIN >= self.planned.deadline;
+            match end {
+                SendEnd::Answer(answer) => return Ok(self.pass(*answer)),
+                SendEnd::NotRun(what) => story.detail = what,
+                SendEnd::MayHaveRun(what, answer) => {
+                    story.detail = what;
+                    self.runs += 1;
+                    last = answer.or(last);
+                    if !is_idempotent(self.planned) && what == "no answer by the deadline" {
+                        return Err(Refusal::TimedOut);
+                    }
+                }
+            }
+            self.log_failure(&entry, story);
+            if is_over && self.runs > 0 && last.is_none() {
+                return Err(Refusal::TimedOut);
+            }
+            let attempts = self.planned.route.attempts.unwrap_or(ATTEMPTS);
+            let may_repeat = !self.request.is_abandoned.get()
+                && !is_over
+                && story.sends < SENDS_MAX
+                && (self.runs == 0 || (is_idempotent(self.planned) && self.runs < attempts));
+            if !may_repeat {
+                return self.give_up(last, Duration::from_millis(200));
+            }
+        }
+    }
+
+    /// The last answer where no further server is asked.
+    fn give_up(
+        &self,
+        last: Option<Box<ServerAnswer>>,
+        after: Duration,
+    ) -> Result<FrontAnswer, Refusal> {
+        match last {
+            Some(answer) => Ok(self.pass(*answer)),
+            None if self.runs > 0 => Err(Refusal::Failed),
+            None => Err(Refusal::NoRoom(after)),
+        }
+    }
+
+    fn choose(&self) -> Result<(ServerKey, ServerEntry), (ChoiceRefusal, Duration)> {
+        let now = clock::now();
+        let service = self.planned.service;
+        let mut allowance = self.context.allowance.borrow_mut();
+        let ask = ChoiceAsk {
+            service: &service.name,
+            kind: self.planned.route.kind,
+            zone: &self.context.settings.zone,
+            tried: &self.tried,
+            priority: self.planned.priority,
+            time_left: self.time_left(),
+            own_rate_per_s: allowance.request_rate(&service.name, now),
+            may_repeat: self.runs == 0,
+        };
+        let pool = self.context.pool.borrow();
+        let mut random = self.context.random.borrow_mut();
+        match pool.choose(ask, service.cold_rate_per_s, &mut *random, now) {
+            ServerChoice::Send(key) => {
+                let entry = pool.entry(key).cloned();
+                entry
+                    .map(|entry| (key, entry))
+                    .ok_or((ChoiceRefusal::NoServer, Duration::ZERO))
+            }
+            ServerChoice::Refuse(reason, after) => Err((reason, after)),
+        }
+    }
+
+    fn take_repeat(&self) -> bool {
+        let now = clock::now();
+        let hosts = self.context.hosts.borrow().active(now);
+        let mut allowance = self.context.allowance.borrow_mut();
+        allowance.take(&self.planned.service.name, hosts, now)
+    }
+
+    fn time_left(&self) -> Duration {
+        let deadline = self.planned.deadline;
+        deadline.saturating_duration_since(Instant::now())
+    }
+
+    async fn send(&self, key: ServerKey, entry: &ServerEntry) -> SendEnd {
+        let planned = self.planned;
+        let dialect = &planned.service.dialect;
+        let head = &self.request.request.head;
+        let outgoing = OutgoingHeaders {
+            dialect,
+            workspace: planned.workspace,
+            server: entry,
+            time_left: self.time_left(),
+        };
+        let id = head.text(&dialect.id_header);
+        let id = id.filter(|_| dialect.echoes_id);
+        let order = AttemptOrder {
+            key,
+            entry,
+            kind: planned.route.kind,
+            bytes: outgoing_request(head, &self.request.request.body, &outgoing),
+            is_head_request: head.method == http::Method::HEAD,
+            echoed: id.map(|id| (dialect.id_header.as_str(), id)),
+            deadline: planned.deadline - ANSWER_MARGIN.min(self.time_left() / 4),
+        };
+        let running = RunningRequest::open(self.context, key);
+        let started = Instant::now();
+        let sent = attempt(self.context, order);
+        let end = self.watch(sent, &running).await;
+        let (signal, end) = self.judge(end);
+        if signal == ServerSignal::Success {
+            let mut pool = self.context.pool.borrow_mut();
+            pool.note_length(&planned.service.name, started.elapsed());
+        }
+        running.close(signal);
+        end
+    }
+
+    /// Waits for the end of an attempt, and tells when it should be over.
+    async fn watch(
+        &self,
+        sent: impl Future<Output = AttemptEnd>,
+        running: &RunningRequest,
+    ) -> AttemptEnd {
+        let mean = self
+            .context
+            .pool
+            .borrow()
+            .mean_length(&self.planned.service.name);
+        let stall = (mean * STALL_FACTOR).max(STALL_MIN);
+        tokio::pin!(sent);
+        match tokio::time::timeout(stall, &mut sent).await {
+            Ok(end) => end,
+            Err(_) => {
+                running.note_stall();
+                sent.await
+            }
+        }
+    }
+
+    /// What the end of an attempt shows of the server, and what it means for
+    /// the request.
+    fn judge(&self, end: AttemptEnd) -> (ServerSignal, SendEnd) {
+        let answer = match end {
+            AttemptEnd::Unsent(err) => {
+                self.log_unsent(&err);
+                return (ServerSignal::Unreachable, SendEnd::NotRun("unreachable"));
+            }
+            AttemptEnd::Lost(what) => {
+                return (ServerSignal::Failure, SendEnd::MayHaveRun(what, None));
+            }
+            AttemptEnd::Answered(answer) => answer,
+        };
+        let dialect = &self.planned.service.dialect;
+        let status = answer.head.status;
+        let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        if is_misdirected {
+            return (ServerSignal::Unreachable, SendEnd::NotRun("other server"));
+        }
+        if answer
+            .head
+            .headers
+            .contains_key(dialect.not_run_header.as_str())
+        {
+            return (ServerSignal::Shed, SendEnd::NotRun("turned away"));
+        }
+        let is_signed = dialect.signature_header.is_empty()
+            || answer
+                .head
+                .headers
+                .contains_key(dialect.signature_header.as_str());
+        let is_coded = answer.head.headers.contains_key("content-encoding");
+        if !is_signed || is_coded {
+            return (
+                ServerSignal::Failure,
+                SendEnd::MayHaveRun("spoiled answer", None),
+            );
+        }
+        if promises_not_run(status) {
+            // The server ran the request, so its status cannot be passed on.
+            return (
+                ServerSignal::Error,
+                SendEnd::MayHaveRun("false promise", None),
+            );
+        }
+        if status.is_server_error() {
+            let end = SendEnd::MayHaveRun("server error", Some(answer));
+            return (ServerSignal::Error, end);
+        }
+        (ServerSignal::Success, SendEnd::Answer(answer))
+    }
+
+    fn pass(&self, answer: ServerAnswer) -> FrontAnswer {
+        FrontAnswer {
+            status: answer.head.status,
+            headers: end_to_end(&answer.head.headers),
+            body: answer.body,
+        }
+    }
+
+    fn log_unsent(&self, err: &std::io::Error) {
+        let head = &self.request.request.head;
+        warn!(self.context.log, "server not reached";
+            "id" => head.text(ID_HEADER).unwrap_or_default(),
+            "error" => err.to_string());
+    }
+
+    fn log_failure(&self, entry: &ServerEntry, story: &RequestStory) {
+        self.context
+            .counters
+            .count("attempt-failed", &[("reason", story.detail)]);
+        let head = &self.request.request.head;
+        warn!(self.context.log, "attempt failed";
+            "id" => head.text(ID_HEADER).unwrap_or_default(),
+            "route" => self.planned.route.name.as_str(),
+            "server" => entry.id.as_str(),
+            "address" => entry.address.to_string(),
+            "reason" => story.detail,
+            "chance" => (story.chance * 1000.0).round() / 1000.0,
+            "send" => story.sends,
+            "left_ms" => self.time_left().as_millis() as u64,
+        );
+    }
+}
+
+/// Whether callers take a status as a promise that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/front/mod.rs
@@ -0,0 +1,7 @@
+//! Connections of callers.
+
+mod connection;
+mod listening;
+pub(crate) mod pages;
+
+pub(crate) use self::listening::{accept_each, serve_callers};
--- /dev/null
+++ b/crates/mangostep-entry/src/front/pages.rs
@@ -0,0 +1,99 @@
+//! Short pages: whether the host takes callers, look-ups and metrics.
+
+use std::net::SocketAddr;
+
+use {
+    bytes::{Bytes, BytesMut},
+    http::{HeaderMap, HeaderValue, StatusCode, header},
+    mangostep_http::{AnswerEnd, MessageLimits, RequestDecoder, RequestHead, encode_answer},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::timeout,
+    },
+};
+
+use crate::{front::accept_each, prelude::*};
+
+/// Longest time that a connection to a page stays without a request.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// An answer with its media type.
+pub(crate) struct PageAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) media: &'static str,
+    pub(crate) body: Vec<u8>,
+}
+
+impl PageAnswer {
+    /// An answer without content.
+    pub(crate) fn bare(status: StatusCode) -> Self {
+        PageAnswer {
+            status,
+            media: "text/plain",
+            body: Vec::new(),
+        }
+    }
+}
+
+/// Serves pages on an address until the host closes.
+pub(crate) fn serve_pages<F>(
+    context: &Rc<HostContext>,
+    address: SocketAddr,
+    answer: F,
+) -> Result<(), EntryError>
+where
+    F: Fn(&HostContext, &RequestHead) -> PageAnswer + Clone + 'static,
+{
+    let shared = Rc::clone(context);
+    accept_each(context, address, move |stream| {
+        let (context, answer) = (Rc::clone(&shared), answer.clone());
+        tokio::task::spawn_local(async move {
+            // A caller that breaks off needs no answer.
+            let _ = serve_page(&context, stream, answer).await;
+        });
+    })
+}
+
+async fn serve_page(
+    context: &HostContext,
+    mut stream: TcpStream,
+    answer: impl Fn(&HostContext, &RequestHead) -> PageAnswer,
+) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut decoder = RequestDecoder::open(MessageLimits::default());
+    let (mut buffer, mut out) = (BytesMut::new(), BytesMut::new());
+    loop {
+        let request = match decoder.decode(&mut buffer) {
+            Ok(Some(request)) => request,
+            Ok(None) => {
+                let read = timeout(IDLE_TIMEOUT, stream.read_buf(&mut buffer)).await;
+                match read {
+                    Ok(Ok(length)) if length > 0 => continue,
+                    Ok(read) => return read.map(drop),
+                    Err(_) => return Ok(()),
+                }
+            }
+            Err(_) => return Ok(()),
+        };
+        let page = answer(context, &request.head);
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(page.media));
+        let end = AnswerEnd {
+            closes: !request.head.keeps_connection(),
+            is_head_request: request.head.method == http::Method::HEAD,
+        };
+        out.clear();
+        encode_answer(
+            page.status,
+            &headers,
+            &Bytes::from(page.body),
+            end,
+            &mut out,
+        );
+        stream.write_all(&out).await?;
+        if end.closes {
+            return stream.shutdown().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/peers/copies.rs
@@ -0,0 +1,96 @@
+use std::{io, net::SocketAddr};
+
+use {
+    mangostep_policy::CopyDelta,
+    serde::{Deserialize, Serialize},
+    slog::info,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::timeout,
+    },
+};
+
+use crate::{front::accept_each, platform::FleetTable, prelude::*};
+
+/// Longest time to read a copy from another host.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Largest delta, in bytes: twice the servers of the target size.
+const DELTA_BYTES_MAX: u32 = 8 << 20;
+
+/// Asks for the changes of a table after a version.
+#[derive(Debug, Serialize, Deserialize)]
+struct CopyQuestion {
+    table: FleetTable,
+    after: u64,
+}
+
+/// Gives other hosts the changes that this one knows, until the host closes.
+pub(crate) fn serve_copies(
+    context: &Rc<HostContext>,
+    address: SocketAddr,
+) -> Result<(), EntryError> {
+    let shared = Rc::clone(context);
+    accept_each(context, address, move |stream| {
+        let context = Rc::clone(&shared);
+        tokio::task::spawn_local(async move {
+            let served = timeout(READ_TIMEOUT, serve_copy(&context, stream)).await;
+            if let Ok(Err(err)) = served {
+                info!(context.log, "copy not served"; "error" => err.to_string());
+            }
+        });
+    })
+}
+
+async fn serve_copy(context: &HostContext, mut stream: TcpStream) -> io::Result<()> {
+    let question: CopyQuestion = read_frame(&mut stream).await?;
+    let delta = {
+        let tables = context.tables.borrow();
+        let state = tables.of(question.table);
+        match state.is_known {
+            true => state.copy.delta_after(question.after),
+            false => CopyDelta::default(),
+        }
+    };
+    write_frame(&mut stream, &delta).await?;
+    stream.shutdown().await
+}
+
+/// Reads the changes of a table after a version from another host; none when
+/// that host does not know the table.
+pub(crate) async fn read_copy(
+    table: FleetTable,
+    after: u64,
+    address: SocketAddr,
+) -> Result<Option<CopyDelta>, EntryError> {
+    let read = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        write_frame(&mut stream, &CopyQuestion { table, after }).await?;
+        read_frame(&mut stream).await
+    };
+    let failed = |err: io::Error| EntryError::new("read copy", address, err);
+    let delta: CopyDelta = timeout(READ_TIMEOUT, read)
+        .await
+        .map_err(|_| failed(io::ErrorKind::TimedOut.into()))?
+        .map_err(failed)?;
+    Ok((delta.version > 0).then_some(delta))
+}
+
+async fn write_frame(stream: &mut TcpStream, value: &impl Serialize) -> io::Result<()> {
+    let body = postcard::to_stdvec(value).map_err(io::Error::other)?;
+    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
+    stream.write_all(&length.to_be_bytes()).await?;
+    stream.write_all(&body).await
+}
+
+async fn read_frame<T: serde::de::DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+    let length = stream.read_u32().await?;
+    if length > DELTA_BYTES_MAX {
+        return Err(io::Error::other("the frame is too large"));
+    }
+    let mut body = vec![0; length as usize];
+    stream.read_exact(&mut body).await?;
+    postcard::from_bytes(&body).map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -0,0 +1,65 @@
+//! What hosts tell each other: who is alive, how backend servers do, and
+//! tokens of workspaces.
+//!
+//! Messages are datagrams, since each is small and old ones are of no use.
+//! Copies of tables go over TCP.
+
+mod copies;
+mod messages;
+mod receiving;
+mod reporting;
+mod signals;
+mod tokens;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+};
+
+use {
+    mangostep_policy::TokenVerdict,
+    tokio::{net::UdpSocket, sync::oneshot},
+};
+
+pub(crate) use self::{
+    copies::{read_copy, serve_copies},
+    receiving::receive,
+    reporting::{report, report_once},
+    signals::tell_signal,
+    tokens::ask_token,
+};
+use crate::prelude::*;
+
+/// The socket for datagrams, and the asks that wait for answers.
+pub(crate) struct PeerPort {
+    socket: UdpSocket,
+    next_ask: Cell<u64>,
+    asks: RefCell<HashMap<u64, oneshot::Sender<TokenVerdict>>>,
+    /// Homes of tokens that did not answer, and until when they are passed
+    /// over.
+    silent_homes: RefCell<HashMap<String, MonotonicTime>>,
+    /// Tables to be read from another host.
+    pub(crate) behind: RefCell<HashMap<crate::platform::FleetTable, SocketAddr>>,
+    pub(crate) behind_wake: tokio::sync::Notify,
+}
+
+impl PeerPort {
+    /// Opens the socket.
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self, EntryError> {
+        let socket = UdpSocket::bind(address).await;
+        Ok(PeerPort {
+            socket: socket.map_err(|err| EntryError::new("bind", address, err))?,
+            next_ask: Cell::new(1),
+            asks: RefCell::default(),
+            silent_homes: RefCell::default(),
+            behind: RefCell::default(),
+            behind_wake: tokio::sync::Notify::new(),
+        })
+    }
+
+    /// Sends a datagram. A full socket loses it, as the network may.
+    pub(crate) fn send(&self, bytes: &[u8], to: SocketAddr) {
+        let _ = self.socket.try_send_to(bytes, to);
+    }
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -0,0 +1,128 @@
+use std::net::SocketAddr;
+
+use {
+    mangostep_policy::{LedgerAsk, PeerKey, TokenVerdict},
+    slog::{info, warn},
+};
+
+use crate::{
+    clock,
+    peers::messages::{
+        HostReport, PeerMessage, SignalCode, SignalReport, TokenQuestion, decode, encode,
+    },
+    prelude::*,
+};
+
+/// Largest datagram, in bytes.
+const DATAGRAM_MAX: usize = 16 << 10;
+
+/// Pause after the socket failed.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Handles the datagrams of other hosts.
+pub(crate) async fn receive(context: Rc<HostContext>) {
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+        match context.peers.socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => handle(&context, &buffer[..length], from),
+            Err(err) => {
+                warn!(context.log, "datagram not received"; "error" => err.to_string());
+                tokio::time::sleep(RECEIVE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn handle(context: &HostContext, bytes: &[u8], from: SocketAddr) {
+    match decode(bytes) {
+        Some(PeerMessage::Report(report)) => handle_report(context, *report),
+        Some(PeerMessage::Signal(signal)) => handle_signal(context, &signal, from),
+        Some(PeerMessage::Ask(question)) => handle_ask(context, &question, from),
+        Some(PeerMessage::Answer { ask, denied_us }) => {
+            let waiting = context.peers.asks.borrow_mut().remove(&ask);
+            let verdict = match denied_us {
+                Some(micros) => TokenVerdict::Denied(Duration::from_micros(micros)),
+                None => TokenVerdict::Granted,
+            };
+            if let Some(waiting) = waiting {
+                // The request may have been refused meanwhile.
+                let _ = waiting.send(verdict);
+            }
+        }
+        None => context.counters.count("datagram-dropped", &[]),
+    }
+}
+
+fn handle_report(context: &HostContext, report: HostReport<'_>) {
+    let now = clock::now();
+    let mut hosts = context.hosts.borrow_mut();
+    let row = report.row.as_ref();
+    let copies = row.map(|row| row.copies);
+    if let Some(row) = report.row.filter(|row| hosts.row(&row.name) != Some(row)) {
+        hosts.put(row);
+    }
+    let is_ready = report.report.is_ready;
+    if hosts.note_report(&report.host, report.report, now) {
+        info!(context.log, "host heard of"; "peer" => &*report.host, "ready" => is_ready);
+    }
+    hosts.note_zone(&report.zone, report.named, now);
+    let tables = context.tables.borrow();
+    let mut behind = context.peers.behind.borrow_mut();
+    for mark in report.tables {
+        let own = tables.of(mark.table);
+        let is_behind = mark.digest != own.digest && mark.version > own.copy.version();
+        if let Some(copies) = copies.filter(|_| is_behind || !own.is_known) {
+            behind.entry(mark.table).or_insert(copies);
+            context.peers.behind_wake.notify_one();
+        }
+    }
+}
+
+fn handle_signal(context: &HostContext, report: &SignalReport<'_>, from: SocketAddr) {
+    let now = clock::now();
+    let mut pool = context.pool.borrow_mut();
+    let Some(key) = pool.find(&report.server) else {
+        return;
+    };
+    let is_same = pool
+        .entry(key)
+        .is_some_and(|e| e.started_ms == report.started_ms);
+    if !is_same {
+        return;
+    }
+    pool.note_peer_running(key, peer_key(from), report.running, now);
+    // What one host cannot reach may be sound for the others.
+    let told = report
+        .signal
+        .filter(|code| *code != SignalCode::Unreachable);
+    if let Some(code) = told {
+        pool.note(key, code.signal(), now);
+    }
+}
+
+fn peer_key(from: SocketAddr) -> PeerKey {
+    let ip = match from.ip() {
+        std::net::IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        std::net::IpAddr::V6(ip) => ip.to_bits() as u64,
+    };
+    PeerKey(ip << 16 | u64::from(from.port()))
+}
+
+fn handle_ask(context: &HostContext, question: &TokenQuestion<'_>, from: SocketAddr) {
+    let ask = LedgerAsk {
+        asker: (question.incarnation ^ peer_key(from).0, question.ask),
+        workspace: &question.workspace,
+        rate_per_s: question.rate_per_s,
+        burst: question.burst,
+    };
+    let verdict = context.ledger.borrow_mut().ask(ask, clock::now());
+    let denied_us = match verdict {
+        TokenVerdict::Granted => None,
+        TokenVerdict::Denied(after) => u64::try_from(after.as_micros()).ok(),
+    };
+    let answer = PeerMessage::Answer {
+        ask: question.ask,
+        denied_us,
+    };
+    context.peers.send(&encode(&answer), from);
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/peers/signals.rs
@@ -0,0 +1,38 @@
+use std::borrow::Cow;
+
+use mangostep_policy::{ServerKey, ServerSignal};
+
+use crate::{
+    clock,
+    peers::messages::{PeerMessage, SignalCode, SignalReport, encode},
+    prelude::*,
+};
+
+/// Tells other hosts what this one has running at a server, and what it saw
+/// there.
+///
+/// Starts and successes go to hosts of the own zone that send requests, who
+/// mostly use the same servers. Failures go to all hosts that send requests.
+pub(crate) fn tell_signal(context: &HostContext, key: ServerKey, signal: Option<ServerSignal>) {
+    let pool = context.pool.borrow();
+    let Some(entry) = pool.entry(key) else {
+        return;
+    };
+    let code = signal.and_then(SignalCode::of);
+    let report = SignalReport {
+        server: Cow::Borrowed(&entry.id),
+        started_ms: entry.started_ms,
+        running: pool.own_running(key),
+        signal: code,
+    };
+    let bytes = encode(&PeerMessage::Signal(report));
+    let is_failure = code.is_some_and(|code| code != SignalCode::Success);
+    let hosts = context.hosts.borrow();
+    let observers = match is_failure {
+        true => hosts.observers(clock::now()),
+        false => hosts.near_observers(clock::now()),
+    };
+    for to in observers {
+        context.peers.send(&bytes, to);
+    }
+}
--- /dev/null
+++ b/crates/mangostep-entry/src/prelude.rs
@@ -0,0 +1,7 @@
+//! Types that nearly every module uses.
+
+pub(crate) use std::{rc::Rc, time::Duration};
+
+pub(crate) use mangostep_policy::MonotonicTime;
+
+pub(crate) use crate::{context::HostContext, error::EntryError};
--- /dev/null
+++ b/crates/mangostep-http/src/encode.rs
@@ -0,0 +1,88 @@
+use {
+    bytes::{BufMut, BytesMut},
+    http::{HeaderMap, StatusCode},
+};
+
+use crate::{RequestHead, is_hop_header};
+
+/// How an answer leaves its connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerEnd {
+    /// Whether the connection closes behind the answer.
+    pub closes: bool,
+    /// Whether the answer is to a request that wants no body.
+    pub is_head_request: bool,
+}
+
+/// Writes a request with the method and target of a caller's.
+///
+/// Headers that concern one connection alone are left out, and `headers` are
+/// written as they are.
+pub fn encode_request(head: &RequestHead, headers: &HeaderMap, body: &[u8], out: &mut BytesMut) {
+    out.reserve(512 + body.len());
+    out.put_slice(head.method.as_str().as_bytes());
+    out.put_u8(b' ');
+    out.put_slice(head.target.as_bytes());
+    out.put_slice(b" HTTP/1.1\r\n");
+    put_headers(headers, out);
+    let has_body = !body.is_empty() || head.headers.contains_key("content-length");
+    let has_body = has_body || head.headers.contains_key("transfer-encoding");
+    if has_body {
+        put_length(body.len(), out);
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(body);
+}
+
+/// Writes an answer with a length.
+///
+/// For a HEAD request, the length that `headers` name is kept.
+pub fn encode_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: &[u8],
+    end: AnswerEnd,
+    out: &mut BytesMut,
+) {
+    out.reserve(256 + body.len());
+    out.put_slice(b"HTTP/1.1 ");
+    out.put_slice(status.as_str().as_bytes());
+    out.put_u8(b' ');
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    out.put_slice(reason.as_bytes());
+    out.put_slice(b"\r\n");
+    put_headers(headers, out);
+    if end.is_head_request {
+        if let Some(length) = headers.get("content-length") {
+            put_header("content-length", length.as_bytes(), out);
+        }
+    } else if status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED {
+        put_length(body.len(), out);
+    }
+    if end.closes {
+        put_header("connection", b"close", out);
+    }
+    out.put_slice(b"\r\n");
+    if !end.is_head_request {
+        out.put_slice(body);
+    }
+}
+
+fn put_headers(headers: &HeaderMap, out: &mut BytesMut) {
+    for (name, value) in headers {
+        if !is_hop_header(name) {
+            put_header(name.as_str(), value.as_bytes(), out);
+        }
+    }
+}
+
+fn put_length(length: usize, out: &mut BytesMut) {
+    put_header("content-length", length.to_string().as_bytes(), out);
+}
+
+fn put_header(name: &str, value: &[u8], out: &mut BytesMut) {
+    out.put_slice(name.as_bytes());
+    out.put_slice(b": ");
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/mangostep-http/src/head.rs
@@ -0,0 +1,223 @@
+use {
+    bytes::{Buf, BytesMut},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
+};
+
+use crate::{MessageFault, body::BodyFraming};
+
+/// Headers of one message; the limit on the head's bytes binds first.
+const HEADERS_MAX: usize = 128;
+
+/// The start line and the headers of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// Method as it was sent.
+    pub method: Method,
+    /// Path and query as they were sent.
+    pub target: String,
+    /// Whether the caller speaks HTTP/1.1 rather than 1.0.
+    pub is_http_11: bool,
+    /// Headers by name; the names are lower case.
+    pub headers: HeaderMap,
+}
+
+impl RequestHead {
+    /// The path as it was sent, without the query.
+    pub fn path(&self) -> &str {
+        let target = self.target.as_str();
+        target.split_once('?').map_or(target, |(path, _)| path)
+    }
+
+    /// A header's value as text; none when it is absent or no text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Whether the caller expects the connection to stay open.
+    pub fn keeps_connection(&self) -> bool {
+        match self.is_http_11 {
+            true => !has_token(&self.headers, &header::CONNECTION, "close"),
+            false => has_token(&self.headers, &header::CONNECTION, "keep-alive"),
+        }
+    }
+
+    /// Whether the caller waits for leave to send the body.
+    pub(crate) fn expects_continue(&self) -> bool {
+        self.is_http_11 && has_token(&self.headers, &header::EXPECT, "100-continue")
+    }
+}
+
+/// The start line and the headers of an answer.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// Status.
+    pub status: StatusCode,
+    /// Whether the server speaks HTTP/1.1 rather than 1.0.
+    pub is_http_11: bool,
+    /// Headers by name; the names are lower case.
+    pub headers: HeaderMap,
+}
+
+impl AnswerHead {
+    /// A header's value as text; none when it is absent or no text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    pub(crate) fn keeps_connection(&self) -> bool {
+        match self.is_http_11 {
+            true => !has_token(&self.headers, &header::CONNECTION, "close"),
+            false => has_token(&self.headers, &header::CONNECTION, "keep-alive"),
+        }
+    }
+}
+
+/// Whether a header concerns one connection alone and is not passed on.
+pub fn is_hop_header(name: &HeaderName) -> bool {
+    matches!(
+        name.as_str(),
+        "connection"
+            | "keep-alive"
+            | "proxy-connection"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "expect"
+            | "content-length"
+    )
+}
+
+fn has_token(headers: &HeaderMap, name: &HeaderName, token: &str) -> bool {
+    let values = headers.get_all(name).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    texts
+        .flat_map(|text| text.split(','))
+        .any(|part| part.trim().eq_ignore_ascii_case(token))
+}
+
+/// Takes the head of a request off the buffer once it is whole.
+pub(crate) fn take_request_head(
+    buffer: &mut BytesMut,
+    head_bytes: usize,
+) -> Result<Option<RequestHead>, MessageFault> {
+    let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Request::new(&mut slots);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if buffer.len() > head_bytes => {
+            return Err(MessageFault::HeadTooLarge);
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(MessageFault::HeadTooLarge),
+        Err(_) => return Err(MessageFault::malformed("head of a request")),
+    };
+    if length > head_bytes {
+        return Err(MessageFault::HeadTooLarge);
+    }
+    let method = parsed.method.unwrap_or_default().as_bytes();
+    let head = RequestHead {
+        method: Method::from_bytes(method).map_err(|_| MessageFault::malformed("method"))?,
+        target: parsed.path.unwrap_or_default().to_owned(),
+        is_http_11: parsed.version == Some(1),
+        headers: header_map(parsed.headers)?,
+    };
+    buffer.advance(length);
+    Ok(Some(head))
+}
+
+/// Takes the head of an answer off the buffer once it is whole.
+pub(crate) fn take_answer_head(
+    buffer: &mut BytesMut,
+    head_bytes: usize,
+) -> Result<Option<AnswerHead>, MessageFault> {
+    let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Response::new(&mut slots);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if buffer.len() > head_bytes => {
+            return Err(MessageFault::HeadTooLarge);
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(MessageFault::malformed("head of an answer")),
+    };
+    let code = parsed.code.unwrap_or_default();
+    let head = AnswerHead {
+        status: StatusCode::from_u16(code).map_err(|_| MessageFault::malformed("status"))?,
+        is_http_11: parsed.version == Some(1),
+        headers: header_map(parsed.headers)?,
+    };
+    buffer.advance(length);
+    Ok(Some(head))
+}
+
+fn header_map(parsed: &[httparse::Header<'_>]) -> Result<HeaderMap, MessageFault> {
+    let mut headers = HeaderMap::with_capacity(parsed.len());
+    for header in parsed {
+        let name = HeaderName::from_bytes(header.name.as_bytes())
+            .map_err(|_| MessageFault::malformed("name of a header"))?;
+        let value = HeaderValue::from_bytes(header.value)
+            .map_err(|_| MessageFault::malformed("value of a header"))?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// How the body of a request is framed.
+pub(crate) fn request_framing(head: &RequestHead) -> Result<BodyFraming, MessageFault> {
+    let coded = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let length = content_length(&head.headers)?;
+    match (coded, length) {
+        // Two readers could disagree on where such a request ends.
+        (true, Some(_)) => Err(MessageFault::malformed("two framings")),
+        (true, None) if is_chunked(&head.headers) && head.is_http_11 => Ok(BodyFraming::Chunked),
+        (true, None) => Err(MessageFault::malformed("transfer encoding")),
+        (false, length) => Ok(BodyFraming::Length(length.unwrap_or(0))),
+    }
+}
+
+/// How the body of an answer is framed.
+pub(crate) fn answer_framing(
+    head: &AnswerHead,
+    is_head_request: bool,
+) -> Result<BodyFraming, MessageFault> {
+    let bodiless = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    if is_head_request || bodiless {
+        return Ok(BodyFraming::Length(0));
+    }
+    let coded = head.headers.contains_key(header::TRANSFER_ENCODING);
+    match (coded, content_length(&head.headers)?) {
+        (true, Some(_)) => Err(MessageFault::malformed("two framings")),
+        (true, None) if is_chunked(&head.headers) => Ok(BodyFraming::Chunked),
+        (true, None) => Err(MessageFault::malformed("transfer encoding")),
+        (false, Some(length)) => Ok(BodyFraming::Length(length)),
+        (false, None) => Ok(BodyFraming::UntilClose),
+    }
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let only = (values.next(), values.next());
+    matches!(only, (Some(value), None)
+        if value.to_str().is_ok_and(|text| text.trim().eq_ignore_ascii_case("chunked")))
+}
+
+fn content_length(headers: &HeaderMap) -> Result<Option<u64>, MessageFault> {
+    let mut length = None;
+    for value in headers.get_all(header::CONTENT_LENGTH) {
+        let text = value.to_str().unwrap_or_default().trim();
+        let is_number = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+        let number = text.parse::<u64>().ok().filter(|_| is_number);
+        let number = number.ok_or(MessageFault::malformed("content length"))?;
+        if length.is_some_and(|other| other != number) {
+            return Err(MessageFault::malformed("two content lengths"));
+        }
+        length = Some(number);
+    }
+    Ok(length)
+}
--- a/crates/mangostep-objects/src/check.rs
+++ b/crates/mangostep-objects/src/check.rs
@@ -1,7 +1,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::{
-    Limit, NormalPath, ObjectFault, ObjectSet, Route, RouteAccess, Service, ZoneState,
+    Limit, NormalPath, ObjectFault, ObjectSet, PathMatch, Route, RouteAccess, Service, ZoneState,
     normalize_host, source::ObjectPlaces,
 };
 
@@ -146,8 +146,9 @@
                 index,
                 name: &workspace.name,
             };
-            let limit = &*workspace.limit;
-            self.check_reference(subject, "limit", "limit", limit, limits.contains(limit));
+            if let Some(limit) = workspace.limit.as_deref() {
+                self.check_reference(subject, "limit", "limit", limit, limits.contains(limit));
+            }
         }
     }
 
@@ -303,13 +304,39 @@
                 let exists = workspaces.contains(name.as_str());
                 self.check_reference(subject, "workspaces", "workspace", name, exists);
             }
+            self.check_split(subject, route, &services);
             self.check_route(subject, route);
         }
     }
 
+    fn check_split(&mut self, subject: Subject<'_>, route: &Route, services: &HashSet<&str>) {
+        for part in &route.split {
+            let service = &*part.service;
+            let exists = services.contains(service);
+            self.check_reference(subject, "split", "service", service, exists);
+            if !part.weight.is_finite() || part.weight < 0.0 {
+                let message = format!("weight of `{service}` must be 0 or more");
+                self.fault(subject, "split", message);
+            }
+        }
+        if !route.split.is_empty() && route.split.iter().all(|part| part.weight <= 0.0) {
+            let message = "one weight at least must be more than 0".to_owned();
+            self.fault(subject, "split", message);
+        }
+        if route.attempts == Some(0) {
+            self.fault(subject, "attempts", "must be at least 1".to_owned());
+        }
+    }
+
     fn check_route(&mut self, subject: Subject<'_>, route: &Route) {
         let path = &*route.path;
         match NormalPath::parse(path) {
+            _ if route.path_match == PathMatch::Literal => {
+                if !path.starts_with('/') || !path.ends_with('/') {
+                    let message = "a literal path must start and end with `/`".to_owned();
+                    self.fault(subject, "path", message);
+                }
+            }
             Some(normal) if normal.as_str() == path => {}
             Some(normal) => {
                 let message = format!("must be normalised: `{}`", normal.as_str());
@@ -350,11 +377,11 @@
 
     /// Two routes that would take the same request are a mistake.
     fn check_overlaps(&mut self) {
-        let mut seen: HashMap<(Option<String>, &str), Vec<&Route>> = HashMap::new();
+        let mut seen: HashMap<(Option<String>, PathMatch, &str), Vec<&Route>> = HashMap::new();
         for (index, route) in self.set.routes.iter().enumerate() {
             let host = route.host.as_deref().map(normalize_host);
             let path = route.path.trim_end_matches('/');
-            let others = seen.entry((host, path)).or_default();
+            let others = seen.entry((host, route.path_match, path)).or_default();
             let clash = others
                 .iter()
                 .find(|other| methods_overlap(&other.methods, &route.methods));
--- a/crates/mangostep-objects/src/lib.rs
+++ b/crates/mangostep-objects/src/lib.rs
@@ -38,8 +38,8 @@
 pub use crate::{
     error::{ObjectError, ObjectFault},
     objects::{
-        AvailabilityZone, Key, KeyDigest, Limit, RequestKind, Route, RouteAccess, Service,
-        ServiceDialect, Workspace, ZoneState,
+        AvailabilityZone, CallerLimits, Key, KeyDigest, Limit, PathMatch, RequestKind, Route,
+        RouteAccess, Service, ServiceDialect, WeightedService, Workspace, ZoneState,
     },
     path::{NormalPath, normalize_host},
     set::ObjectSet,
--- a/crates/mangostep-objects/src/objects.rs
+++ b/crates/mangostep-objects/src/objects.rs
@@ -13,8 +13,14 @@
 pub struct Workspace {
     /// Name, unique among workspaces.
     pub name: String,
-    /// Name of the [`Limit`] that holds for all hosts together.
-    pub limit: String,
+    /// Name of the [`Limit`] that holds for all hosts together; none when
+    /// absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<String>,
+    /// Rank of its requests when room is short, 0 the most urgent; that of
+    /// the route when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u32>,
 }
 
 /// The SHA-256 digest of a key; the key itself is never stored.
@@ -94,6 +100,28 @@
     Open,
 }
 
+/// How the path of a route is compared with the path of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PathMatch {
+    /// Normalised paths, by whole segments.
+    #[default]
+    Segments,
+    /// The path as it was sent must begin with the route's path, which ends
+    /// with a slash.
+    Literal,
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightedService {
+    /// Name of the service.
+    pub service: String,
+    /// Share relative to the other services of the route.
+    pub weight: f64,
+}
+
 /// Leads requests to a service, by host name, path prefix and method.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -104,13 +132,27 @@
     /// Host name that the route answers to; any when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub host: Option<String>,
-    /// Normalised path prefix, matched by whole segments.
+    /// Path prefix, normalised unless it is matched literally.
     pub path: String,
+    /// How `path` is compared.
+    #[serde(default)]
+    pub path_match: PathMatch,
     /// Methods that the route takes; all when empty.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub methods: Vec<String>,
     /// Name of the service behind the route.
     pub service: String,
+    /// Services that share the requests by weight; `service` takes all of
+    /// them when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<WeightedService>,
+    /// Most backend servers that may run one request; the fleet's own bound
+    /// when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempts: Option<u32>,
+    /// Rank of its requests when room is short, 0 the most urgent.
+    #[serde(default)]
+    pub priority: u32,
     /// Whether its requests may be sent again.
     #[serde(rename = "request_kind")]
     pub kind: RequestKind,
@@ -127,6 +169,15 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "deadline_ms")]
     pub deadline: Duration,
+    /// Time within which an answer is of full use to the caller; half of the
+    /// deadline when absent.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(
+        default,
+        rename = "target_latency_ms",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub target_latency: Option<Duration>,
 }
 
 /// The headers and paths that the backend servers of a service speak.
@@ -153,6 +204,12 @@
     pub load_path: String,
     /// Path that cancels a request by id, by POST; empty for none.
     pub cancel_path: String,
+    /// Header that names the backend server that alone may run a request;
+    /// empty for none.
+    pub expected_server_header: String,
+    /// Answer header by which a backend server proves that an answer is its
+    /// own; empty for none.
+    pub signature_header: String,
 }
 
 impl Default for ServiceDialect {
@@ -168,6 +225,8 @@
             health_path: "/healthz".to_owned(),
             load_path: "/loadz".to_owned(),
             cancel_path: String::new(),
+            expected_server_header: String::new(),
+            signature_header: String::new(),
         }
     }
 }
@@ -189,6 +248,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "cold_ramp_ms")]
     pub cold_ramp: Duration,
+    /// Requests a second that one backend server in cold start bears, over
+    /// all hosts; bounded by `cold_slots` alone when absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_rate_per_s: Option<f64>,
     /// Backend servers that stay in use, over all zones, whatever they do.
     pub floor: u32,
     /// Connections that one backend server takes.
@@ -219,6 +282,7 @@
             slots: 2,
             cold_slots: 1,
             cold_ramp: Duration::from_secs(10),
+            cold_rate_per_s: None,
             floor: 1,
             connections: 400,
             probe_every: Duration::from_secs(1),
@@ -274,3 +338,33 @@
     /// Requests that may come at once after a quiet time.
     pub burst: f64,
 }
+
+/// What callers may send, and how long they may take or stay idle.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: u64,
+    /// Longest time from the first byte of a head to its last.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "header_timeout_ms")]
+    pub header_timeout: Duration,
+    /// Time after which a connection without requests is closed.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "idle_timeout_ms")]
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        CallerLimits {
+            header_bytes: 16 << 10,
+            body_bytes: 64 << 20,
+            header_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
--- a/crates/mangostep-objects/src/route_index.rs
+++ b/crates/mangostep-objects/src/route_index.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-use crate::{NormalPath, Route, normalize_host};
+use crate::{NormalPath, PathMatch, Route, normalize_host};
 
 /// Routes by host name and path, so that a look-up costs one hash for each
 /// segment of the path, however many routes there are.
@@ -9,6 +9,8 @@
     routes: Vec<Route>,
     by_host: HashMap<String, PathMap>,
     any_host: PathMap,
+    /// Routes that are matched literally, by host name and whole prefix.
+    literal: HashMap<String, HashMap<String, usize>>,
 }
 
 /// Indices of routes by path without the trailing slash.
@@ -26,6 +28,12 @@
             ..Default::default()
         };
         for (at, route) in routes.iter().enumerate() {
+            if route.path_match == PathMatch::Literal {
+                let host = route.host.as_deref().map(normalize_host);
+                let prefixes = index.literal.entry(host.unwrap_or_default()).or_default();
+                prefixes.insert(route.path.clone(), at);
+                continue;
+            }
             let paths = match &route.host {
                 Some(host) => index.by_host.entry(normalize_host(host)).or_default(),
                 None => &mut index.any_host,
@@ -54,6 +62,22 @@
         None
     }
 
+    pub(crate) fn find_literal(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = normalize_host(host);
+        let named = [host.as_str(), ""];
+        let maps = named.into_iter().filter_map(|name| self.literal.get(name));
+        for prefixes in maps {
+            let mut rest = path;
+            while let Some(slash) = rest.rfind('/') {
+                if let Some(at) = prefixes.get(&path[..=slash]) {
+                    return Some(&self.routes[*at]);
+                }
+                rest = &path[..slash];
+            }
+        }
+        None
+    }
+
     fn find_in(&self, paths: &PathMap, path: &NormalPath, method: &str) -> Option<&Route> {
         let mut prefix = path.as_str().trim_end_matches('/');
         loop {
--- a/crates/mangostep-objects/src/set.rs
+++ b/crates/mangostep-objects/src/set.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AvailabilityZone, Key, Limit, ObjectError, ObjectFault, Route, Service, Workspace,
+    AvailabilityZone, CallerLimits, Key, Limit, ObjectError, ObjectFault, Route, Service,
+    Workspace,
     check::SetChecker,
     source::{ObjectPlaces, SourceReader},
 };
@@ -22,6 +23,8 @@
     pub keys: Vec<Key>,
     /// Routes.
     pub routes: Vec<Route>,
+    /// What callers may send.
+    pub callers: CallerLimits,
 }
 
 impl ObjectSet {
--- a/crates/mangostep-objects/src/snapshot.rs
+++ b/crates/mangostep-objects/src/snapshot.rs
@@ -1,8 +1,8 @@
 use std::{collections::HashMap, time::Duration};
 
 use crate::{
-    AvailabilityZone, KeyDigest, Limit, NormalPath, ObjectSet, Route, RouteAccess, Service,
-    ZoneState, route_index::RouteIndex,
+    AvailabilityZone, CallerLimits, KeyDigest, Limit, NormalPath, ObjectSet, Route, RouteAccess,
+    Service, ZoneState, route_index::RouteIndex,
 };
 
 /// A checked set of objects, indexed for the request path.
@@ -14,6 +14,8 @@
     version: u64,
     routes: RouteIndex,
     keys: HashMap<[u8; 32], KeyOwner>,
+    priorities: HashMap<String, u32>,
+    callers: CallerLimits,
     limits: HashMap<String, Limit>,
     route_limits: HashMap<String, Limit>,
     services: HashMap<String, Service>,
@@ -48,7 +50,7 @@
             .workspaces
             .iter()
             .filter_map(|workspace| {
-                let limit = limit_of.get(workspace.limit.as_str())?;
+                let limit = limit_of.get(workspace.limit.as_deref()?)?;
                 Some((workspace.name.clone(), (*limit).clone()))
             })
             .collect();
@@ -82,10 +84,17 @@
             .iter()
             .map(|zone| (zone.name.clone(), zone.clone()))
             .collect();
+        let priorities = set
+            .workspaces
+            .iter()
+            .filter_map(|workspace| Some((workspace.name.clone(), workspace.priority?)))
+            .collect();
         Snapshot {
             version,
             routes,
             keys,
+            priorities,
+            callers: set.callers.clone(),
             limits,
             route_limits,
             services,
@@ -108,6 +117,29 @@
         Some(RouteTarget { route, service })
     }
 
+    /// Finds the route whose literal path is the longest that begins the path
+    /// as it was sent.
+    pub fn literal_route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes.find_literal(host, path)
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter()
+    }
+
+    /// What callers may send.
+    pub fn callers(&self) -> &CallerLimits {
+        &self.callers
+    }
+
+    /// The rank of a request: that of its workspace, else that of its route.
+    pub fn priority_of(&self, route: &Route, workspace: Option<&str>) -> u32 {
+        workspace
+            .and_then(|name| self.priorities.get(name).copied())
+            .unwrap_or(route.priority)
+    }
+
     /// The longest deadline of the routes to a service; zero without routes.
     pub fn longest_deadline(&self, service: &str) -> Duration {
         let routes = self.routes.iter();
--- /dev/null
+++ b/crates/mangostep-policy/src/dispatch/active_window.rs
@@ -0,0 +1,62 @@
+use std::time::Duration;
+
+use crate::MonotonicTime;
+
+/// Seconds that a window remembers; twice the longest budget window.
+const SECONDS: usize = 32;
+
+/// Counts events in sliding windows of whole seconds.
+#[derive(Clone, Debug)]
+pub struct ActiveWindow {
+    counts: [u32; SECONDS],
+    /// The second that was written last.
+    latest: u64,
+}
+
+impl Default for ActiveWindow {
+    fn default() -> Self {
+        ActiveWindow {
+            counts: [0; SECONDS],
+            latest: 0,
+        }
+    }
+}
+
+impl ActiveWindow {
+    /// Counts one event.
+    pub fn add(&mut self, now: MonotonicTime) {
+        self.advance(now);
+        self.counts[slot_of(self.latest)] += 1;
+    }
+
+    /// Events in the last `span`, which is cut to 30 seconds.
+    pub fn count(&mut self, now: MonotonicTime, span: Duration) -> u32 {
+        self.advance(now);
+        let seconds = span.as_secs().clamp(1, SECONDS as u64 - 2);
+        let first = self.latest.saturating_sub(seconds);
+        (first..=self.latest)
+            .map(|second| self.counts[slot_of(second)])
+            .sum()
+    }
+
+    /// Events a second over the last `span`.
+    pub fn rate(&mut self, now: MonotonicTime, span: Duration) -> f64 {
+        f64::from(self.count(now, span)) / span.as_secs_f64().max(1.0)
+    }
+
+    fn advance(&mut self, now: MonotonicTime) {
+        let second = now.as_micros() / 1_000_000;
+        if second <= self.latest {
+            return;
+        }
+        let stale = (second - self.latest).min(SECONDS as u64);
+        for back in 0..stale {
+            self.counts[slot_of(second - back)] = 0;
+        }
+        self.latest = second;
+    }
+}
+
+fn slot_of(second: u64) -> usize {
+    (second % SECONDS as u64) as usize
+}
--- /dev/null
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -0,0 +1,57 @@
+use std::time::Duration;
+
+use crate::dispatch::EvidenceSettings;
+
+/// Weights by which a [`ServerPool`](crate::ServerPool) orders servers.
+///
+/// All costs are in seconds of a caller's time, so that they can be added.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolSettings {
+    /// How outcomes are weighed.
+    pub evidence: EvidenceSettings,
+    /// Cost of a request that may have run and cannot be sent again; a few
+    /// times the usual target latency.
+    pub lost_cost: Duration,
+    /// Cost of a failure that can be sent again: a little time and a repeat.
+    pub repeat_cost: Duration,
+    /// Cost of leaving the own availability zone: two more passes between
+    /// zones and the price of the bytes.
+    pub zone_cost: Duration,
+    /// Cost of the last slot of a server, which spreads work before servers
+    /// are full.
+    pub full_cost: Duration,
+    /// Span of the random cost that keeps hosts from choosing alike.
+    pub jitter: Duration,
+    /// Time between two requests that test a suspected server.
+    pub test_pause: Duration,
+    /// Time for which a server that turned a request away counts as full.
+    pub shed_pause: Duration,
+    /// Waiting requests a slot, for the most urgent kind. Less urgent kinds
+    /// get half as many for each rank.
+    pub queue_share: f64,
+    /// Share of the rate that a cold server bears which hosts use together.
+    pub cold_share: f64,
+    /// Time after which another host's number of running requests is stale.
+    pub peer_load_span: Duration,
+    /// Length of a request while none has been measured.
+    pub initial_length: Duration,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        PoolSettings {
+            evidence: EvidenceSettings::default(),
+            lost_cost: Duration::from_secs(4),
+            repeat_cost: Duration::from_millis(250),
+            zone_cost: Duration::from_millis(30),
+            full_cost: Duration::from_millis(120),
+            jitter: Duration::from_millis(20),
+            test_pause: Duration::from_millis(500),
+            shed_pause: Duration::from_millis(150),
+            queue_share: 2.0,
+            cold_share: 0.6,
+            peer_load_span: Duration::from_secs(3),
+            initial_length: Duration::from_millis(250),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangostep-policy/src/dispatch/retry_allowance.rs
@@ -0,0 +1,90 @@
+use std::{collections::HashMap, time::Duration};
+
+use crate::{MonotonicTime, dispatch::ActiveWindow};
+
+/// Bounds of a [`RetryAllowance`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct AllowanceSettings {
+    /// Repeats allowed for each request; the operator's bound.
+    pub ratio: f64,
+    /// Repeats allowed besides, over all hosts; the operator's bound.
+    pub slack: f64,
+    /// Time over which both are counted; the operator's bound.
+    pub window: Duration,
+    /// Share of both that hosts use together. The rest covers requests that
+    /// a window counts a moment later than their repeats.
+    pub used_share: f64,
+}
+
+impl Default for AllowanceSettings {
+    fn default() -> Self {
+        AllowanceSettings {
+            ratio: 0.2,
+            slack: 60.0,
+            window: Duration::from_secs(10),
+            used_share: 0.85,
+        }
+    }
+}
+
+/// Bounds what one host sends again, so that all hosts together stay within
+/// a budget a service.
+#[derive(Clone, Debug)]
+pub struct RetryAllowance {
+    settings: AllowanceSettings,
+    services: HashMap<String, ServiceWindows>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceWindows {
+    requests: ActiveWindow,
+    repeats: ActiveWindow,
+}
+
+impl RetryAllowance {
+    /// Opens an allowance that counted nothing yet.
+    pub fn open(settings: AllowanceSettings) -> Self {
+        RetryAllowance {
+            settings,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Counts a request of a caller.
+    pub fn note_request(&mut self, service: &str, now: MonotonicTime) {
+        self.windows(service).requests.add(now);
+    }
+
+    /// Requests a second for a service on this host, over five seconds.
+    pub fn request_rate(&mut self, service: &str, now: MonotonicTime) -> f64 {
+        let span = Duration::from_secs(5);
+        self.windows(service).requests.rate(now, span)
+    }
+
+    /// Takes one repeat if this host's part of the budget has one left.
+    ///
+    /// `hosts` is the number of hosts that share the slack.
+    pub fn take(&mut self, service: &str, hosts: usize, now: MonotonicTime) -> bool {
+        let settings = self.settings.clone();
+        let windows = self.windows(service);
+        let requests = f64::from(windows.requests.count(now, settings.window));
+        // One second more than the window, for any span of that length counts.
+        let span = settings.window + Duration::from_secs(1);
+        let repeats = f64::from(windows.repeats.count(now, span));
+        let own_slack = settings.slack / hosts.max(1) as f64;
+        let allowed = (requests * settings.ratio + own_slack) * settings.used_share;
+        let is_left = repeats + 1.0 <= allowed;
+        if is_left {
+            windows.repeats.add(now);
+        }
+        is_left
+    }
+
+    fn windows(&mut self, service: &str) -> &mut ServiceWindows {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.to_owned(), ServiceWindows::default());
+        }
+        self.services.get_mut(service).expect("was just inserted")
+    }
+}
--- /dev/null
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -0,0 +1,476 @@
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use {
+    mangostep_objects::RequestKind,
+    rand::{Rng, RngExt},
+    slotmap::{SlotMap, new_key_type},
+};
+
+use crate::{
+    MonotonicTime,
+    dispatch::{PoolSettings, ServerEntry, ServerEvidence},
+};
+
+new_key_type! {
+    /// A backend server in a [`ServerPool`].
+    pub struct ServerKey;
+}
+
+/// Another host, as the one that counts it numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PeerKey(pub u64);
+
+/// A request that needs a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceAsk<'a> {
+    /// Service of the request.
+    pub service: &'a str,
+    /// Whether it may be sent again.
+    pub kind: RequestKind,
+    /// Availability zone of this host.
+    pub zone: &'a str,
+    /// Servers that it was sent to before.
+    pub tried: &'a [ServerKey],
+    /// Rank, 0 the most urgent.
+    pub priority: u32,
+    /// Time until its deadline.
+    pub time_left: Duration,
+    /// Rate of requests for the service on this host, a second.
+    pub own_rate_per_s: f64,
+    /// Whether a failure could be sent again within the budget.
+    pub may_repeat: bool,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ServerChoice {
+    /// To this server.
+    Send(ServerKey),
+    /// Nowhere now; the caller may come back after the time.
+    Refuse(ChoiceRefusal, Duration),
+}
+
+/// Why no server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceRefusal {
+    /// The service has no server that may take work.
+    NoServer,
+    /// All servers have as many requests as they finish in time.
+    NoRoom,
+    /// All servers are in cold start and have what they bear.
+    AllCold,
+}
+
+impl ChoiceRefusal {
+    /// The name of the reason in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ChoiceRefusal::NoServer => "no-server",
+            ChoiceRefusal::NoRoom => "no-room",
+            ChoiceRefusal::AllCold => "all-cold",
+        }
+    }
+}
+
+/// What an attempt, here or on another host, showed of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerSignal {
+    /// A whole answer.
+    Success,
+    /// A reset, a cut or spoiled answer, or none by the deadline.
+    Failure,
+    /// An error answer of the server's own.
+    Error,
+    /// No answer long after the usual time; the request still runs.
+    Stall,
+    /// The server turned the request away without running it.
+    Shed,
+    /// No connection could be made.
+    Unreachable,
+    /// The caller left, which says nothing of the server.
+    Nothing,
+}
+
+#[derive(Clone, Debug)]
+struct ServerRecord {
+    entry: ServerEntry,
+    evidence: ServerEvidence,
+    own_running: u32,
+    peers_running: Vec<(PeerKey, u32, MonotonicTime)>,
+    cold_until: MonotonicTime,
+    full_until: MonotonicTime,
+    /// When an entry that lapsed is given up.
+    held_until: Option<MonotonicTime>,
+}
+
+impl ServerRecord {
+    fn running(&self, span: Duration, now: MonotonicTime) -> u32 {
+        let fresh = |(_, _, seen): &&(PeerKey, u32, MonotonicTime)| now.since(*seen) < span;
+        let peers = self.peers_running.iter().filter(fresh);
+        self.own_running + peers.map(|(_, running, _)| running).sum::<u32>()
+    }
+}
+
+/// The backend servers that a host knows, and the choice among them.
+///
+/// The pool prefers rather than ejects: every server that may take work can
+/// be chosen, in the order of what the next failure would cost. Requests that
+/// run at most once go to servers that answered someone well a moment ago.
+/// Requests that may be sent again test the others.
+#[derive(Clone, Debug, Default)]
+pub struct ServerPool {
+    settings: PoolSettings,
+    servers: SlotMap<ServerKey, ServerRecord>,
+    by_id: HashMap<String, ServerKey>,
+    by_service: HashMap<String, Vec<ServerKey>>,
+    zones_out: HashSet<String>,
+    lengths: HashMap<String, Duration>,
+    hosts: usize,
+}
+
+/// Share of a new measurement in the mean length of requests.
+const LENGTH_SHARE: f64 = 0.05;
+
+/// Longest Retry-After; callers wait at most a third of their time.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
+
+impl ServerPool {
+    /// Opens a pool without servers.
+    pub fn open(settings: PoolSettings) -> Self {
+        ServerPool {
+            settings,
+            hosts: 1,
+            ..Default::default()
+        }
+    }
+
+    /// Sets how many hosts send requests, this one included.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts.max(1);
+    }
+
+    /// Adds a server or takes over its new entry.
+    ///
+    /// `joining_cold` is the time for which a server that was not known
+    /// before is taken as cold, whatever its entry says.
+    pub fn put(
+        &mut self,
+        entry: &ServerEntry,
+        joining_cold: Duration,
+        now: MonotonicTime,
+    ) -> ServerKey {
+        let known = self.by_id.get(&entry.id).copied();
+        if let Some(key) = known {
+            let record = &mut self.servers[key];
+            let is_same = record.entry.started_ms == entry.started_ms
+                && record.entry.service == entry.service
+                && record.entry.address == entry.address;
+            if is_same {
+                record.held_until = None;
+                record.cold_until = record.cold_until.max(now + entry.cold_left);
+                record.entry = entry.clone();
+                return key;
+            }
+            self.remove(&entry.id);
+        }
+        let cold = entry.cold_left.max(joining_cold);
+        let key = self.servers.insert(ServerRecord {
+            entry: entry.clone(),
+            evidence: ServerEvidence::default(),
+            own_running: 0,
+            peers_running: Vec::new(),
+            cold_until: now + cold,
+            full_until: MonotonicTime::ZERO,
+            held_until: None,
+        });
+        self.by_id.insert(entry.id.clone(), key);
+        let service = self.by_service.entry(entry.service.clone()).or_default();
+        service.push(key);
+        key
+    }
+
+    /// Forgets a server; tells whether it was known.
+    pub fn remove(&mut self, id: &str) -> bool {
+        let Some(key) = self.by_id.remove(id) else {
+            return false;
+        };
+        if let Some(record) = self.servers.remove(key)
+            && let Some(keys) = self.by_service.get_mut(&record.entry.service)
+        {
+            keys.retain(|other| *other != key);
+        }
+        true
+    }
+
+    /// Keeps a server whose entry lapsed until the time.
+    pub fn hold(&mut self, id: &str, until: MonotonicTime) {
+        if let Some(key) = self.by_id.get(id) {
+            let record = &mut self.servers[*key];
+            record.held_until.get_or_insert(until);
+        }
+    }
+
+    /// Forgets the servers that were held for long enough and returns their
+    /// names.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<String> {
+        let is_over = |record: &&ServerRecord| record.held_until.is_some_and(|until| until <= now);
+        let over = self.servers.values().filter(is_over);
+        let over: Vec<String> = over.map(|record| record.entry.id.clone()).collect();
+        for id in &over {
+            self.remove(id);
+        }
+        over
+    }
+
+    /// Sets the availability zones that take no work. Servers of a zone that
+    /// comes back are cold for `return_cold`.
+    pub fn set_zones_out(
+        &mut self,
+        zones: HashSet<String>,
+        return_cold: Duration,
+        now: MonotonicTime,
+    ) {
+        for record in self.servers.values_mut() {
+            let zone = &record.entry.zone;
+            if self.zones_out.contains(zone) && !zones.contains(zone) {
+                record.cold_until = record.cold_until.max(now + return_cold);
+            }
+        }
+        self.zones_out = zones;
+    }
+
+    /// Finds a server by its name.
+    pub fn find(&self, id: &str) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// The entry of a server; none once it is gone.
+    pub fn entry(&self, key: ServerKey) -> Option<&ServerEntry> {
+        self.servers.get(key).map(|record| &record.entry)
+    }
+
+    /// Whether a server may take a request at all.
+    pub fn may_take(&self, key: ServerKey) -> bool {
+        self.servers.get(key).is_some_and(|record| {
+            !record.entry.is_draining && !self.zones_out.contains(&record.entry.zone)
+        })
+    }
+
+    /// All servers.
+    pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.servers.values().map(|record| &record.entry)
+    }
+
+    /// Requests that this host has at a server.
+    pub fn own_running(&self, key: ServerKey) -> u32 {
+        self.servers.get(key).map_or(0, |record| record.own_running)
+    }
+
+    /// Chance that a request to the server fails, for logs.
+    pub fn chance(&self, key: ServerKey, now: MonotonicTime) -> f64 {
+        self.servers.get(key).map_or(0.0, |record| {
+            record.evidence.chance(&self.settings.evidence, now)
+        })
+    }
+
+    /// Takes note of a request that is sent to a server.
+    pub fn start(&mut self, key: ServerKey) {
+        if let Some(record) = self.servers.get_mut(key) {
+            record.own_running += 1;
+        }
+    }
+
+    /// Takes note of the end of a request that [`ServerPool::start`] counted.
+    pub fn finish(&mut self, key: ServerKey) {
+        if let Some(record) = self.servers.get_mut(key) {
+            record.own_running = record.own_running.saturating_sub(1);
+        }
+    }
+
+    /// Takes note of how many requests another host has at a server.
+    pub fn note_peer_running(
+        &mut self,
+        key: ServerKey,
+        peer: PeerKey,
+        running: u32,
+        now: MonotonicTime,
+    ) {
+        let span = self.settings.peer_load_span;
+        let Some(record) = self.servers.get_mut(key) else {
+            return;
+        };
+        record
+            .peers_running
+            .retain(|(other, _, seen)| *other != peer && now.since(*seen) < span);
+        if running > 0 {
+            record.peers_running.push((peer, running, now));
+        }
+    }
+
+    /// Takes note of what an attempt showed of a server.
+    pub fn note(&mut self, key: ServerKey, signal: ServerSignal, now: MonotonicTime) {
+        let Some(record) = self.servers.get_mut(key) else {
+            return;
+        };
+        let settings = &self.settings.evidence;
+        match signal {
+            ServerSignal::Success => record.evidence.note_success(settings, now),
+            ServerSignal::Failure | ServerSignal::Unreachable => {
+                record.evidence.note_failure(settings, now);
+            }
+            ServerSignal::Error => record.evidence.note_error(settings, now),
+            ServerSignal::Stall => record.evidence.note_stall(settings, now),
+            ServerSignal::Shed => record.full_until = now + self.settings.shed_pause,
+            ServerSignal::Nothing => {}
+        }
+    }
+
+    /// Takes note of how long a request of a service ran.
+    pub fn note_length(&mut self, service: &str, length: Duration) {
+        match self.lengths.get_mut(service) {
+            Some(mean) => {
+                *mean = mean.mul_f64(1.0 - LENGTH_SHARE) + length.mul_f64(LENGTH_SHARE);
+            }
+            None => {
+                self.lengths.insert(service.to_owned(), length);
+            }
+        }
+    }
+
+    /// Mean length of the requests of a service.
+    pub fn mean_length(&self, service: &str) -> Duration {
+        let known = self.lengths.get(service).copied();
+        known.unwrap_or(self.settings.initial_length)
+    }
+
+    /// Picks the server for a request.
+    ///
+    /// `cold_rate` is the rate that a cold server of the service bears over
+    /// all hosts.
+    pub fn choose(
+        &self,
+        ask: ChoiceAsk<'_>,
+        cold_rate_per_s: Option<f64>,
+        random: &mut impl Rng,
+        now: MonotonicTime,
+    ) -> ServerChoice {
+        let keys = self
+            .by_service
+            .get(ask.service)
+            .map_or(&[][..], Vec::as_slice);
+        let mut best: Option<(f64, ServerKey)> = None;
+        let mut refusal = ChoiceRefusal::NoServer;
+        let mut shortest_wait = RETRY_AFTER_MAX;
+        let mut cold_pick = None;
+        for key in keys.iter().copied().filter(|key| self.may_take(*key)) {
+            if ask.tried.contains(&key) {
+                continue;
+            }
+            let record = &self.servers[key];
+            if record.cold_until > now {
+                if refusal == ChoiceRefusal::NoServer {
+                    refusal = ChoiceRefusal::AllCold;
+                }
+                let may_take = record.running(self.settings.peer_load_span, now) == 0;
+                if may_take && random.random_bool(self.cold_chance(ask, cold_rate_per_s)) {
+                    cold_pick = Some(key);
+                }
+                continue;
+            }
+            let (wait, has_room) = self.wait_at(record, ask, now);
+            shortest_wait = shortest_wait.min(wait);
+            if !has_room {
+                refusal = ChoiceRefusal::NoRoom;
+                continue;
+            }
+            let jitter = random.random_range(0.0..=self.settings.jitter.as_secs_f64());
+            let cost = self.cost(record, ask, wait, now) + jitter;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        if let Some(key) = cold_pick {
+            return ServerChoice::Send(key);
+        }
+        match best {
+            Some((_, key)) => ServerChoice::Send(key),
+            None => {
+                let spread = random.random_range(1.0..2.0);
+                let after = shortest_wait.max(self.settings.shed_pause).mul_f64(spread);
+                ServerChoice::Refuse(refusal, after.min(RETRY_AFTER_MAX))
+            }
+        }
+    }
+
+    /// Chance that a request goes to one given cold server, so that all hosts
+    /// together send it a part of what it bears.
+    fn cold_chance(&self, ask: ChoiceAsk<'_>, cold_rate_per_s: Option<f64>) -> f64 {
+        let Some(rate) = cold_rate_per_s else {
+            return 1.0;
+        };
+        let fleet_rate = ask.own_rate_per_s.max(0.2) * self.hosts as f64;
+        (rate * self.settings.cold_share / fleet_rate).clamp(0.0, 1.0)
+    }
+
+    /// Expected wait for a slot, and whether the request fits.
+    fn wait_at(
+        &self,
+        record: &ServerRecord,
+        ask: ChoiceAsk<'_>,
+        now: MonotonicTime,
+    ) -> (Duration, bool) {
+        let slots = record.entry.slots.max(1);
+        let running = record.running(self.settings.peer_load_span, now);
+        let length = self.mean_length(ask.service);
+        let ahead = (running + 1).saturating_sub(slots);
+        let wait = length.mul_f64(f64::from(ahead) / f64::from(slots));
+        let rank_share = 0.5_f64.powi(ask.priority.min(8) as i32);
+        let queue = (f64::from(slots) * self.settings.queue_share * rank_share).floor();
+        let fits = f64::from(running) < f64::from(slots) + queue;
+        let in_time = wait + length < ask.time_left || ahead == 0;
+        (wait, fits && in_time && record.full_until <= now)
+    }
+
+    /// What sending the request to the server is expected to cost, in
+    /// seconds.
+    fn cost(
+        &self,
+        record: &ServerRecord,
+        ask: ChoiceAsk<'_>,
+        wait: Duration,
+        now: MonotonicTime,
+    ) -> f64 {
+        let settings = &self.settings;
+        let evidence = &record.evidence;
+        let slots = f64::from(record.entry.slots.max(1));
+        let running = f64::from(record.running(settings.peer_load_span, now));
+        let mut cost = wait.as_secs_f64() + settings.full_cost.as_secs_f64() * running / slots;
+        if record.entry.zone != ask.zone {
+            cost += settings.zone_cost.as_secs_f64();
+        }
+        if record.held_until.is_some() {
+            cost += settings.repeat_cost.as_secs_f64();
+        }
+        let chance = evidence.chance(&settings.evidence, now);
+        let is_repeatable = ask.kind == RequestKind::Idempotent && ask.may_repeat;
+        if !is_repeatable {
+            return cost + chance * settings.lost_cost.as_secs_f64();
+        }
+        let repeat_cost = settings.repeat_cost.as_secs_f64();
+        let tested = evidence.last_outcome();
+        let is_due = tested.is_none_or(|at| now.since(at) >= settings.test_pause);
+        let suspicion = evidence.suspicion_at(&settings.evidence, now);
+        if suspicion > 0.1 {
+            // A request that may be repeated tells whether the server is
+            // sound again, unless it would hang there.
+            let is_test = is_due && !evidence.is_stalled() && running == 0.0;
+            let sign = if is_test { -1.0 } else { 4.0 };
+            return cost + sign * repeat_cost * suspicion.max(0.3);
+        }
+        // Leaves the servers that rarely fail to requests that run once.
+        cost - repeat_cost * evidence.history(&settings.evidence)
+    }
+}
--- /dev/null
+++ b/crates/mangostep-policy/src/dispatch/token_ledger.rs
@@ -0,0 +1,121 @@
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use crate::MonotonicTime;
+
+/// Settings of a [`TokenLedger`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct LedgerSettings {
+    /// Share of the burst that a bucket holds when it opens after the host
+    /// did. The bucket's former home may have given the rest.
+    pub opening_share: f64,
+    /// Answers that are kept for asks that were sent again.
+    pub remembered_asks: usize,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        LedgerSettings {
+            opening_share: 0.5,
+            remembered_asks: 512,
+        }
+    }
+}
+
+/// A token that a host asks for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LedgerAsk<'a> {
+    /// The host that asks, and its number of the ask.
+    pub asker: (u64, u64),
+    /// Workspace of the request.
+    pub workspace: &'a str,
+    /// Tokens a second, over all hosts.
+    pub rate_per_s: f64,
+    /// Tokens after a quiet time.
+    pub burst: f64,
+}
+
+/// The answer to an ask.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum TokenVerdict {
+    /// The request may run.
+    Granted,
+    /// The workspace is over its rate; a token is there after this time.
+    Denied(Duration),
+}
+
+/// Counts the tokens of the workspaces that have their home on this host.
+#[derive(Clone, Debug, Default)]
+pub struct TokenLedger {
+    settings: LedgerSettings,
+    buckets: HashMap<String, LedgerBucket>,
+    answered: HashMap<(u64, u64), TokenVerdict>,
+    order: VecDeque<(u64, u64)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LedgerBucket {
+    tokens: f64,
+    refilled: MonotonicTime,
+    /// Requests denied since the last grant, which come back one by one.
+    denied: f64,
+}
+
+/// Longest time that a denied request is asked to wait; a refill of several
+/// seconds helps no caller.
+const DENIAL_WAIT_MAX: Duration = Duration::from_secs(5);
+
+impl TokenLedger {
+    /// Opens a ledger without buckets.
+    pub fn open(settings: LedgerSettings) -> Self {
+        TokenLedger {
+            settings,
+            ..Default::default()
+        }
+    }
+
+    /// Answers an ask; the same answer when it comes again.
+    pub fn ask(&mut self, ask: LedgerAsk<'_>, now: MonotonicTime) -> TokenVerdict {
+        if let Some(verdict) = self.answered.get(&ask.asker) {
+            return *verdict;
+        }
+        let verdict = self.take(ask, now);
+        self.answered.insert(ask.asker, verdict);
+        self.order.push_back(ask.asker);
+        if self.order.len() > self.settings.remembered_asks
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.answered.remove(&oldest);
+        }
+        verdict
+    }
+
+    fn take(&mut self, ask: LedgerAsk<'_>, now: MonotonicTime) -> TokenVerdict {
+        if !self.buckets.contains_key(ask.workspace) {
+            let bucket = LedgerBucket {
+                tokens: (ask.burst * self.settings.opening_share).max(1.0),
+                refilled: now,
+                denied: 0.0,
+            };
+            self.buckets.insert(ask.workspace.to_owned(), bucket);
+        }
+        let bucket = self
+            .buckets
+            .get_mut(ask.workspace)
+            .expect("was just inserted");
+        let gained = now.since(bucket.refilled).as_secs_f64() * ask.rate_per_s;
+        bucket.tokens = (bucket.tokens + gained).min(ask.burst.max(1.0));
+        bucket.refilled = now;
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            bucket.denied = (bucket.denied - 1.0).max(0.0);
+            return TokenVerdict::Granted;
+        }
+        bucket.denied += 1.0;
+        let wait = (bucket.denied + 1.0 - bucket.tokens) / ask.rate_per_s.max(f64::EPSILON);
+        let wait = wait.min(DENIAL_WAIT_MAX.as_secs_f64());
+        TokenVerdict::Denied(Duration::from_secs_f64(wait))
+    }
+}
--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -16,6 +16,11 @@
 //!   [`TokenAsker`] finds tokens for the requests that wait on a host.
 //! * [`GrayDetector`] finds backend servers that fail grayly;
 //!   [`ConsecutiveErrorDetector`] is the usual way, to compare with.
+//! * [`ServerPool`] picks backend servers where hosts send to them directly,
+//!   by [`ServerEvidence`] that all hosts share; [`RetryAllowance`],
+//!   [`TokenLedger`] and [`SplitTurn`] bound and deal what is sent;
+//!   [`TableCopy`] and [`LapseRule`] follow the store, and [`HostTable`] the
+//!   other hosts.
 //! * [`RetryPolicy`] decides whether a request is sent again.
 //! * [`replay`] runs recorded events through the policies.
 //! * [`MonotonicTime`] is a reading of a host's monotonic clock.
@@ -32,6 +37,7 @@
 //! ```
 
 mod detection;
+mod dispatch;
 mod lease;
 mod limits;
 mod machine;
@@ -43,6 +49,13 @@
 
 pub use crate::{
     detection::{BaselineSettings, ConsecutiveErrorDetector, DetectionSettings, GrayDetector},
+    dispatch::{
+        ActiveWindow, AllowanceSettings, ChoiceAsk, ChoiceRefusal, CopyDelta, CopyRow,
+        EvidenceSettings, HostRow, HostTable, HostTableSettings, LapseRule, LapseSettings,
+        LedgerAsk, LedgerSettings, PeerKey, PeerReport, PeerSighting, PoolSettings, RetryAllowance,
+        ServerChoice, ServerEntry, ServerEvidence, ServerKey, ServerPool, ServerSignal, SplitTurn,
+        TableCopy, TokenLedger, TokenVerdict,
+    },
     lease::{
         Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
         MemberPlanner, MemberSet, Renewal, SHARDS, Standing, TakerWatch, cell_name, shard_name,
--- a/crates/mangostep-telemetry/src/lib.rs
+++ b/crates/mangostep-telemetry/src/lib.rs
@@ -3,6 +3,8 @@
 //! # Parts
 //!
 //! * [`open_log`] sets up structured log lines on standard error.
+//! * [`LineLog`] writes bounded log lines to standard output and never
+//!   blocks; [`boot_time_micros`] reads the clock that counts suspension.
 //! * [`EventRecorder`] keeps the latest time-line events in a bounded ring.
 //! * [`HostCounters`] counts by OpenTelemetry, with bounded labels.
 //! * [`StatusBoard`] holds what `mangostep status` shows.
@@ -18,16 +20,20 @@
 //! assert_eq!(recorder.since(0, 10).events.len(), 1);
 //! ```
 
+mod boot_time;
 mod counters;
 mod error;
 mod event;
+mod line_log;
 mod log;
 mod status;
 
 pub use crate::{
+    boot_time::boot_time_micros,
     counters::{CounterLabel, HostCounters},
     error::TelemetryError,
     event::{EventPage, EventRecorder, LogicalClock, RecorderSettings, TimelineEvent},
+    line_log::{LineLog, LineLogSettings},
     log::open_log,
     status::StatusBoard,
 };
--- a/crates/mangostep/src/check.rs
+++ b/crates/mangostep/src/check.rs
@@ -98,6 +98,7 @@
         workspaces,
         keys,
         routes,
+        callers: _,
     } = set;
     zones.len() + services.len() + limits.len() + workspaces.len() + keys.len() + routes.len()
 }
--- a/crates/mangostep/src/main.rs
+++ b/crates/mangostep/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod command;
+mod entry;
 mod fleet_access;
 mod members;
 mod publish;
@@ -22,6 +23,7 @@
 
 Commands:
   serve SETTINGS     run an entry host until SIGTERM or SIGINT
+  entry SETTINGS     run an entry host on the users' platform
   check PATH...      check a set of objects as one
   publish PATH...    publish a set of objects and wait until it is in force
   status             show hosts, versions in force, zones and ejections
@@ -48,6 +50,7 @@
     type Run = fn(pico_args::Arguments) -> Result<(), CommandError>;
     let (run, usage): (Run, &str) = match name.as_str() {
         "serve" => (serve::run, serve::USAGE),
+        "entry" => (entry::run, entry::USAGE),
         "check" => (check::run, check::USAGE),
         "publish" => (publish::run, publish::USAGE),
         "replay" => (replay::run, replay::USAGE),
--- a/crates/standins/src/experiments/fairness.rs
+++ b/crates/standins/src/experiments/fairness.rs
@@ -112,7 +112,8 @@
         });
         objects.workspaces.push(Workspace {
             name,
-            limit: "wide".to_owned(),
+            limit: Some("wide".to_owned()),
+            priority: None,
         });
     }
     TestFleet::open(FleetSettings {
--- a/crates/standins/src/experiments/limit_fleet.rs
+++ b/crates/standins/src/experiments/limit_fleet.rs
@@ -54,8 +54,8 @@
     let mut set = basic_objects(&["a", "b", "c"].map(str::to_owned));
     set.limits
         .extend([north.object("north"), south.object("south")]);
-    set.workspaces[0].limit = "north".to_owned();
-    set.workspaces[1].limit = "south".to_owned();
+    set.workspaces[0].limit = Some("north".to_owned());
+    set.workspaces[1].limit = Some("south".to_owned());
     set
 }
 
--- a/crates/standins/src/fleet/objects.rs
+++ b/crates/standins/src/fleet/objects.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use mangostep_objects::{
-    AvailabilityZone, Key, KeyDigest, Limit, ObjectSet, RequestKind, Route, RouteAccess, Service,
-    Workspace, ZoneState,
+    AvailabilityZone, Key, KeyDigest, Limit, ObjectSet, PathMatch, RequestKind, Route, RouteAccess,
+    Service, Workspace, ZoneState,
 };
 
 /// The key of workspace `north` in [`basic_objects`].
@@ -17,7 +17,8 @@
 pub fn basic_objects(zones: &[String]) -> ObjectSet {
     let workspace = |name: &str| Workspace {
         name: name.to_owned(),
-        limit: "wide".to_owned(),
+        limit: Some("wide".to_owned()),
+        priority: None,
     };
     let key = |workspace: &str, secret: &str| Key {
         name: format!("{workspace}-1"),
@@ -39,6 +40,7 @@
             basic_route("book", RequestKind::NonIdempotent, RouteAccess::Keyed),
             basic_route("open", RequestKind::Idempotent, RouteAccess::Open),
         ],
+        ..Default::default()
     }
 }
 
@@ -70,6 +72,11 @@
         methods: Vec::new(),
         service: "ledger".to_owned(),
         kind,
+        path_match: PathMatch::Segments,
+        split: Vec::new(),
+        attempts: None,
+        priority: 0,
+        target_latency: None,
         access,
         workspaces: Vec::new(),
         limit: None,
--- a/crates/standins/src/generate.rs
+++ b/crates/standins/src/generate.rs
@@ -4,8 +4,8 @@
 
 use {
     mangostep_objects::{
-        AvailabilityZone, Key, KeyDigest, Limit, ObjectSet, RequestKind, Route, RouteAccess,
-        Service, Workspace, ZoneState,
+        AvailabilityZone, Key, KeyDigest, Limit, ObjectSet, PathMatch, RequestKind, Route,
+        RouteAccess, Service, Workspace, ZoneState,
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
 };
@@ -124,7 +124,8 @@
     let limit = (draw.powi(4) * LIMITS as f64) as usize;
     Workspace {
         name: generated_workspace(index),
-        limit: format!("limit-{:02}", limit.min(LIMITS - 1)),
+        limit: Some(format!("limit-{:02}", limit.min(LIMITS - 1))),
+        priority: None,
     }
 }
 
@@ -157,6 +158,11 @@
         methods: Vec::new(),
         service: generated_service(service),
         kind,
+        path_match: PathMatch::Segments,
+        split: Vec::new(),
+        attempts: None,
+        priority: 0,
+        target_latency: None,
         access: RouteAccess::Keyed,
         workspaces,
         limit: None,
--- a/crates/standins/tests/limits/main.rs
+++ b/crates/standins/tests/limits/main.rs
@@ -45,7 +45,7 @@
         rate_per_s: rate as f64,
         burst: burst as f64,
     });
-    set.workspaces[0].limit = "narrow".to_owned();
+    set.workspaces[0].limit = Some("narrow".to_owned());
     for route in &mut set.routes {
         if route.name == "open" {
             route.limit = Some("narrow".to_owned());
@@ -241,7 +241,7 @@
     // The route has the workspace's name; were they counted together, one of
     // the two limits would hold for both.
     set.routes[2].name = "north".to_owned();
-    set.workspaces[0].limit = "wide".to_owned();
+    set.workspaces[0].limit = Some("wide".to_owned());
     let fleet = open_with(set).await?;
     let open = fleet.caller(0, "")?;
     let limited = || async { matches!(open.get("/open/1").await, Ok(got) if got.status == 429) };
