Tell a cut way from a failing server, and bound cold servers over all hosts

Ruled out: the connection pool (resets are as frequent on new connections).

Change: own outcomes weigh on a record of their own that only own successes clear; tests wait until a success is likelier; requests that may run twice go to a second server once they should have ended; pauses between store calls.

--- a/crates/mangostep-entry/src/back/connection.rs
+++ b/crates/mangostep-entry/src/back/connection.rs
@@ -8,9 +8,9 @@
 
 use crate::prelude::*;
 
-/// Time to connect to a backend server. A lost packet is sent again after a
-/// second; another server is reached sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time to connect to a backend server: many passes between zones. A lost
+/// packet is sent again after a second; another server is reached sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time without acknowledged data after which a connection is broken; it
 /// shows connections that went silent.
--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -21,11 +21,14 @@
 
 /// Longest time that the store holds a call without changes. Silent
 /// connections are found sooner by keep-alive probes and by other hosts.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// Pause after an answer, so that a burst of changes is one answer. A small
-/// part of the time in which changes must be in force.
-const WATCH_PAUSE: Duration = Duration::from_millis(120);
+/// Pause after an answer, so that a burst of changes is one answer: a tenth
+/// of the time in which changes must be in force.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after an answer about hosts, which also tell of themselves.
+const HOSTS_PAUSE: Duration = Duration::from_secs(4);
 
 /// Pause after a failed call; doubled up to the largest.
 const FAILURE_PAUSE_MIN: Duration = Duration::from_millis(250);
@@ -64,7 +67,11 @@
                 failures = 0;
                 is_whole = true;
                 apply(&context, &*platform, table, delta, "store");
-                tokio::time::sleep(WATCH_PAUSE).await;
+                let pause = match table {
+                    FleetTable::Hosts => HOSTS_PAUSE,
+                    FleetTable::Operator | FleetTable::Servers => WATCH_PAUSE,
+                };
+                tokio::time::sleep(pause).await;
             }
             Err(fault) if fault.kind == StoreFaultKind::HistoryGone => {
                 info!(context.log, "history gone"; "table" => table.as_str(), "after" => after);
@@ -131,7 +138,7 @@
         for server in gone {
             info!(context.log, "server gone"; "server" => server, "reason" => "lapsed");
         }
-        let hosts = context.hosts.borrow().active(now);
+        let hosts = context.hosts.borrow().rows().count();
         context.pool.borrow_mut().set_hosts(hosts);
     }
 }
--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -46,6 +46,17 @@
     pub(crate) detail: &'static str,
 }
 
+impl RequestStory {
+    /// Takes note of a send to a server.
+    pub(crate) fn note_send(&mut self, server: &str) {
+        self.sends += 1;
+        if !self.servers.is_empty() {
+            self.servers.push(' ');
+        }
+        self.servers.push_str(server);
+    }
+}
+
 /// Answers one request of a caller.
 pub(crate) async fn forward(context: &Rc<HostContext>, request: ForwardRequest) -> FrontAnswer {
     context.requests.borrow_mut().add(clock::now());
@@ -53,14 +64,21 @@
         return Refusal::NotReady.answer();
     };
     let mut story = RequestStory::default();
-    let (answer, route) = match plan(context, &snapshot, &request) {
+    let (answer, planned) = match plan(context, &snapshot, &request) {
         Ok(planned) => {
             let answer = run(context, &snapshot, &request, &planned, &mut story).await;
-            (answer, planned.route.name.as_str())
+            (answer, Some(planned))
         }
-        Err(refusal) => (Err(refusal), ""),
+        Err(refusal) => (Err(refusal), None),
     };
-    log_end(context, &snapshot, &request, route, &answer, &story);
+    log_end(
+        context,
+        &snapshot,
+        &request,
+        planned.as_ref(),
+        &answer,
+        &story,
+    );
     answer.unwrap_or_else(Refusal::answer)
 }
 
@@ -149,7 +167,7 @@
     context: &HostContext,
     snapshot: &Snapshot,
     request: &ForwardRequest,
-    route: &str,
+    planned: Option<&PlannedRequest<'_>>,
     answer: &Result<FrontAnswer, Refusal>,
     story: &RequestStory,
 ) {
@@ -162,9 +180,20 @@
         .counters
         .count("request-ended", &[("outcome", outcome)]);
     let head = &request.request.head;
+    let route = planned.map_or("", |planned| planned.route.name.as_str());
+    let workspace = planned
+        .and_then(|planned| planned.workspace)
+        .unwrap_or_default();
+    let kind = match planned.map(|planned| planned.route.kind) {
+        Some(RequestKind::Idempotent) => "idempotent",
+        Some(RequestKind::NonIdempotent) => "non-idempotent",
+        None => "",
+    };
     info!(context.log, "request ended";
         "id" => head.text(sending::ID_HEADER).unwrap_or_default(),
         "route" => route,
+        "workspace" => workspace,
+        "kind" => kind,
         "version" => snapshot.version(),
         "outcome" => outcome,
         "status" => status.as_u16(),
--- a/crates/mangostep-entry/src/forward/running.rs
+++ b/crates/mangostep-entry/src/forward/running.rs
@@ -25,7 +25,7 @@
     pub(crate) fn note_stall(&self) {
         let now = clock::now();
         let mut pool = self.context.pool.borrow_mut();
-        pool.note(self.key, ServerSignal::Stall, now);
+        pool.note_own(self.key, ServerSignal::Stall, now);
         drop(pool);
         peers::tell_signal(&self.context, self.key, Some(ServerSignal::Stall));
     }
@@ -39,7 +39,7 @@
         self.is_told = true;
         let mut pool = self.context.pool.borrow_mut();
         pool.finish(self.key);
-        pool.note(self.key, signal, clock::now());
+        pool.note_own(self.key, signal, clock::now());
         drop(pool);
         peers::tell_signal(&self.context, self.key, Some(signal));
     }
--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -1,11 +1,12 @@
 use {
+    futures::future::Either,
     http::StatusCode,
     mangostep_http::ServerAnswer,
     mangostep_policy::{
         ChoiceAsk, ChoiceRefusal, ServerChoice, ServerEntry, ServerKey, ServerSignal,
     },
     slog::warn,
-    tokio::time::Instant,
+    tokio::time::{Instant, timeout},
 };
 
 use crate::{
@@ -91,13 +92,9 @@
                 return self.give_up(last, Duration::from_millis(500));
             }
             self.tried.push(key);
-            story.sends += 1;
-            if !story.servers.is_empty() {
-                story.servers.push(' ');
-            }
-            story.servers.push_str(&entry.id);
+            story.note_send(&entry.id);
             story.chance = self.context.pool.borrow().chance(key, clock::now());
-            let end = self.send(key, &entry).await;
+            let end = self.send_guarded(key, &entry, story).await;
             let is_over = Instant::now() + ANSWER_MARGIN >= self.planned.deadline;
             match end {
                 SendEnd::Answer(answer) => return Ok(self.pass(*answer)),
@@ -212,20 +209,66 @@
         end
     }
 
+    /// Sends the request, and sends it to a second server as well when it may
+    /// run twice and the first should have answered by now.
+    async fn send_guarded(
+        &mut self,
+        key: ServerKey,
+        entry: &ServerEntry,
+        story: &mut RequestStory,
+    ) -> SendEnd {
+        let may_hedge = self.may_hedge(story);
+        let this = &*self;
+        let first = this.send(key, entry);
+        tokio::pin!(first);
+        if !may_hedge {
+            return first.await;
+        }
+        if let Ok(end) = timeout(this.stall_time(), &mut first).await {
+            return end;
+        }
+        let Ok((second_key, second_entry)) = this.choose() else {
+            return first.await;
+        };
+        if !this.take_repeat() {
+            return first.await;
+        }
+        story.note_send(&second_entry.id);
+        let second = this.send(second_key, &second_entry);
+        tokio::pin!(second);
+        let (end, other) = tokio::select! {
+            end = &mut first => (end, Either::Right(second)),
+            end = &mut second => (end, Either::Left(first)),
+        };
+        match end {
+            SendEnd::Answer(_) => end,
+            SendEnd::MayHaveRun(..) | SendEnd::NotRun(_) => other.await,
+        }
+    }
+
+    /// Whether the request may be sent to a second server while the first
+    /// has it.
+    fn may_hedge(&self, story: &RequestStory) -> bool {
+        let attempts = self.planned.route.attempts.unwrap_or(ATTEMPTS);
+        is_idempotent(self.planned) && self.runs + 2 <= attempts && story.sends < SENDS_MAX
+    }
+
+    /// Time after which the request should have ended.
+    fn stall_time(&self) -> Duration {
+        let pool = self.context.pool.borrow();
+        let mean = pool.mean_length(&self.planned.service.name);
+        (mean * STALL_FACTOR).max(STALL_MIN)
+    }
+
     /// Waits for the end of an attempt, and tells when it should be over.
     async fn watch(
         &self,
         sent: impl Future<Output = AttemptEnd>,
         running: &RunningRequest,
     ) -> AttemptEnd {
-        let mean = self
-            .context
-            .pool
-            .borrow()
-            .mean_length(&self.planned.service.name);
-        let stall = (mean * STALL_FACTOR).max(STALL_MIN);
+        let stall = self.stall_time();
         tokio::pin!(sent);
-        match tokio::time::timeout(stall, &mut sent).await {
+        match timeout(stall, &mut sent).await {
             Ok(end) => end,
             Err(_) => {
                 running.note_stall();
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -62,7 +62,8 @@
         hosts.put(row);
     }
     let is_ready = report.report.is_ready;
-    if hosts.note_report(&report.host, report.report, now) {
+    let is_near = report.zone == hosts.own().zone;
+    if hosts.note_report(&report.host, report.report, now) && is_near {
         info!(context.log, "host heard of"; "peer" => &*report.host, "ready" => is_ready);
     }
     hosts.note_zone(&report.zone, report.named, now);
--- a/crates/mangostep-policy/src/dispatch/evidence.rs
+++ b/crates/mangostep-policy/src/dispatch/evidence.rs
@@ -32,7 +32,7 @@
     fn default() -> Self {
         EvidenceSettings {
             prior_chance: 0.02,
-            prior_weight: 20.0,
+            prior_weight: 8.0,
             history_span: Duration::from_secs(40),
             suspicion_span: Duration::from_millis(1_200),
             lengthening_max: 4.0,
@@ -44,6 +44,18 @@
     }
 }
 
+impl EvidenceSettings {
+    /// Settings for what one host sees on its own way to a server. A way that
+    /// is cut stays so for seconds, and only the host's own success clears it.
+    pub fn own_path() -> Self {
+        EvidenceSettings {
+            suspicion_span: Duration::from_secs(3),
+            cleared_share: 0.05,
+            ..Default::default()
+        }
+    }
+}
+
 /// What is known of a backend server's health, from the outcomes that all
 /// hosts saw.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -9,6 +9,9 @@
 pub struct PoolSettings {
     /// How outcomes are weighed.
     pub evidence: EvidenceSettings,
+    /// How outcomes of this host alone are weighed, which show its way to a
+    /// server.
+    pub own_path: EvidenceSettings,
     /// Cost of a request that may have run and cannot be sent again; a few
     /// times the usual target latency.
     pub lost_cost: Duration,
@@ -22,6 +25,9 @@
     pub full_cost: Duration,
     /// Span of the random cost that keeps hosts from choosing alike.
     pub jitter: Duration,
+    /// Chance of a failure below which a suspected server is tested; above
+    /// it a test would most likely fail.
+    pub test_chance: f64,
     /// Time between two requests that test a suspected server.
     pub test_pause: Duration,
     /// Time for which a server that turned a request away counts as full.
@@ -41,6 +47,8 @@
     fn default() -> Self {
         PoolSettings {
             evidence: EvidenceSettings::default(),
+            own_path: EvidenceSettings::own_path(),
+            test_chance: 0.45,
             lost_cost: Duration::from_secs(4),
             repeat_cost: Duration::from_millis(250),
             zone_cost: Duration::from_millis(30),
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -97,7 +97,10 @@
 #[derive(Clone, Debug)]
 struct ServerRecord {
     entry: ServerEntry,
+    /// What all hosts saw of the server.
     evidence: ServerEvidence,
+    /// What this host alone saw, which shows its way to the server.
+    own_path: ServerEvidence,
     own_running: u32,
     peers_running: Vec<(PeerKey, u32, MonotonicTime)>,
     cold_until: MonotonicTime,
@@ -134,6 +137,9 @@
 /// Share of a new measurement in the mean length of requests.
 const LENGTH_SHARE: f64 = 0.05;
 
+/// Suspicion below which a server counts as sound.
+const SUSPICION_MIN: f64 = 0.1;
+
 /// Longest Retry-After; callers wait at most a third of their time.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
 
@@ -147,7 +153,7 @@
         }
     }
 
-    /// Sets how many hosts send requests, this one included.
+    /// Sets how many hosts may send requests, this one included.
     pub fn set_hosts(&mut self, hosts: usize) {
         self.hosts = hosts.max(1);
     }
@@ -180,6 +186,7 @@
         let key = self.servers.insert(ServerRecord {
             entry: entry.clone(),
             evidence: ServerEvidence::default(),
+            own_path: ServerEvidence::default(),
             own_running: 0,
             peers_running: Vec::new(),
             cold_until: now + cold,
@@ -271,9 +278,9 @@
 
     /// Chance that a request to the server fails, for logs.
     pub fn chance(&self, key: ServerKey, now: MonotonicTime) -> f64 {
-        self.servers.get(key).map_or(0.0, |record| {
-            record.evidence.chance(&self.settings.evidence, now)
-        })
+        self.servers
+            .get(key)
+            .map_or(0.0, |record| self.chance_of(record, now))
     }
 
     /// Takes note of a request that is sent to a server.
@@ -310,7 +317,25 @@
         }
     }
 
-    /// Takes note of what an attempt showed of a server.
+    /// Takes note of what an attempt of this host showed of a server.
+    pub fn note_own(&mut self, key: ServerKey, signal: ServerSignal, now: MonotonicTime) {
+        if let Some(record) = self.servers.get_mut(key) {
+            let settings = &self.settings.own_path;
+            match signal {
+                ServerSignal::Success => record.own_path.note_success(settings, now),
+                ServerSignal::Failure | ServerSignal::Unreachable => {
+                    record.own_path.note_failure(settings, now);
+                }
+                ServerSignal::Stall => record.own_path.note_stall(settings, now),
+                ServerSignal::Error | ServerSignal::Shed | ServerSignal::Nothing => {}
+            }
+        }
+        if signal != ServerSignal::Unreachable {
+            self.note(key, signal, now);
+        }
+    }
+
+    /// Takes note of what an attempt of any host showed of a server.
     pub fn note(&mut self, key: ServerKey, signal: ServerSignal, now: MonotonicTime) {
         let Some(record) = self.servers.get_mut(key) else {
             return;
@@ -405,6 +430,12 @@
         }
     }
 
+    fn chance_of(&self, record: &ServerRecord, now: MonotonicTime) -> f64 {
+        let shared = record.evidence.chance(&self.settings.evidence, now);
+        let own = record.own_path.suspicion_at(&self.settings.own_path, now);
+        1.0 - (1.0 - shared) * (1.0 - own)
+    }
+
     /// Chance that a request goes to one given cold server, so that all hosts
     /// together send it a part of what it bears.
     fn cold_chance(&self, ask: ChoiceAsk<'_>, cold_rate_per_s: Option<f64>) -> f64 {
@@ -454,7 +485,7 @@
         if record.held_until.is_some() {
             cost += settings.repeat_cost.as_secs_f64();
         }
-        let chance = evidence.chance(&settings.evidence, now);
+        let chance = self.chance_of(record, now);
         let is_repeatable = ask.kind == RequestKind::Idempotent && ask.may_repeat;
         if !is_repeatable {
             return cost + chance * settings.lost_cost.as_secs_f64();
@@ -462,13 +493,19 @@
         let repeat_cost = settings.repeat_cost.as_secs_f64();
         let tested = evidence.last_outcome();
         let is_due = tested.is_none_or(|at| now.since(at) >= settings.test_pause);
-        let suspicion = evidence.suspicion_at(&settings.evidence, now);
-        if suspicion > 0.1 {
+        let own = record.own_path.suspicion_at(&settings.own_path, now);
+        let suspicion = evidence.suspicion_at(&settings.evidence, now).max(own);
+        if suspicion > SUSPICION_MIN {
             // A request that may be repeated tells whether the server is
             // sound again, unless it would hang there.
-            let is_test = is_due && !evidence.is_stalled() && running == 0.0;
-            let sign = if is_test { -1.0 } else { 4.0 };
-            return cost + sign * repeat_cost * suspicion.max(0.3);
+            let is_test = is_due
+                && suspicion < settings.test_chance
+                && !evidence.is_stalled()
+                && running == 0.0;
+            return match is_test {
+                true => cost - repeat_cost,
+                false => cost + chance * settings.lost_cost.as_secs_f64(),
+            };
         }
         // Leaves the servers that rarely fail to requests that run once.
         cost - repeat_cost * evidence.history(&settings.evidence)
