Count the time of a request's head from its first byte

Ruled out: callers that leave (the connections ended on the host's side with part of a head in the buffer).

Change: a timer that starts anew when the state changes.

--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -37,6 +37,10 @@
 /// Shortest time after which a request counts as stalled.
 const STALL_MIN: Duration = Duration::from_millis(600);
 
+/// Time after which a caller may come back when single servers turned its
+/// request away: others have room, and its return is a request of its own.
+const COME_BACK: Duration = Duration::from_millis(80);
+
 /// Time for the last answer to reach the caller before its deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
@@ -89,7 +93,7 @@
             let is_repeat = !self.tried.is_empty();
             if is_repeat && !self.take_repeat() {
                 story.detail = "retry budget";
-                return self.give_up(last, Duration::from_millis(500));
+                return self.give_up(last, COME_BACK);
             }
             self.tried.push(key);
             story.note_send(&entry.id);
@@ -118,7 +122,7 @@
                 && story.sends < SENDS_MAX
                 && (self.runs == 0 || (is_idempotent(self.planned) && self.runs < attempts));
             if !may_repeat {
-                return self.give_up(last, Duration::from_millis(200));
+                return self.give_up(last, COME_BACK);
             }
         }
     }
@@ -165,9 +169,9 @@
 
     fn take_repeat(&self) -> bool {
         let now = clock::now();
-        let hosts = self.context.hosts.borrow().active(now);
+        let share = self.context.hosts.borrow().own_share(now);
         let mut allowance = self.context.allowance.borrow_mut();
-        allowance.take(&self.planned.service.name, hosts, now)
+        allowance.take(&self.planned.service.name, share, now)
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/mangostep-entry/src/front/connection.rs
+++ b/crates/mangostep-entry/src/front/connection.rs
@@ -8,6 +8,7 @@
         AnswerEnd, CallerRequest, MessageFault, MessageLimits, RequestDecoder, encode_answer,
     },
     mangostep_objects::{CallerLimits, RequestKind},
+    mangostep_policy::{ReadState, ReadTimer},
     slog::info,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -17,6 +18,7 @@
 };
 
 use crate::{
+    clock,
     context::HostPhase,
     forward::{ForwardRequest, FrontAnswer, Refusal, forward},
     prelude::*,
@@ -54,8 +56,7 @@
     is_abandoned: Rc<Cell<bool>>,
     /// Whether no further request is read.
     is_last: bool,
-    /// When the connection became idle or the present head began.
-    waiting_since: Instant,
+    timer: ReadTimer,
 }
 
 /// Serves the requests of one connection in their order.
@@ -78,7 +79,7 @@
         pending: FuturesOrdered::new(),
         is_abandoned: Rc::default(),
         is_last: false,
-        waiting_since: Instant::now(),
+        timer: ReadTimer::open(clock::now()),
     };
     connection.run(stream).await;
 }
@@ -98,8 +99,9 @@
         let mut out = BytesMut::new();
         loop {
             self.start_requests(stream).await?;
+            let is_timed_out = self.is_timed_out();
             if self.pending.is_empty() {
-                if self.is_last || self.is_timed_out() {
+                if self.is_last || is_timed_out {
                     return Ok(());
                 }
                 let is_closing = self.context.phase.get() == HostPhase::Closing;
@@ -130,30 +132,28 @@
         self.buffer.len() < self.limits.header_bytes.max(64 << 10)
     }
 
-    fn is_timed_out(&self) -> bool {
-        let is_idle = self.buffer.is_empty() && !self.decoder.has_head();
-        let limit = match is_idle {
-            true => self.limits.idle_timeout,
-            false if !self.decoder.has_head() => self.limits.header_timeout,
-            // The deadlines of callers bound slow bodies.
-            false => return false,
+    fn is_timed_out(&mut self) -> bool {
+        let state = match (self.pending.is_empty(), self.decoder.has_head()) {
+            (true, false) if self.buffer.is_empty() => ReadState::Idle,
+            (true, false) => ReadState::Head,
+            _ => ReadState::Busy,
         };
-        self.waiting_since.elapsed() > limit
+        let now = clock::now();
+        self.timer.set(state, now);
+        let limits = &self.limits;
+        self.timer
+            .is_over(limits.idle_timeout, limits.header_timeout, now)
     }
 
     /// Starts the requests that are whole.
     async fn start_requests(&mut self, stream: &mut TcpStream) -> io::Result<()> {
         while !self.is_last && self.pending.len() < PIPELINE_MAX {
-            let was_idle = self.buffer.is_empty();
             match self.decoder.decode(&mut self.buffer) {
                 Ok(Some(request)) => self.start(request),
                 Ok(None) => {
                     if self.decoder.take_continue() && self.pending.is_empty() {
                         stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                     }
-                    if was_idle && self.pending.is_empty() && self.buffer.is_empty() {
-                        return Ok(());
-                    }
                     return Ok(());
                 }
                 Err(fault) => self.refuse(fault),
@@ -163,7 +163,6 @@
     }
 
     fn start(&mut self, request: CallerRequest) {
-        self.waiting_since = Instant::now();
         let keeps_connection = request.head.keeps_connection();
         let is_head_request = request.head.method == Method::HEAD;
         self.is_last = !keeps_connection;
@@ -236,7 +235,6 @@
         ended: EndedRequest,
         out: &mut BytesMut,
     ) -> io::Result<()> {
-        self.waiting_since = Instant::now();
         let is_stopping = self.context.phase.get() > HostPhase::Serving;
         if is_stopping && self.pending.is_empty() && self.buffer.is_empty() {
             self.is_last = true;
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -76,6 +76,10 @@
     }
 }
 
+/// Part of a common budget for the hosts that callers are led to; the others
+/// still get callers that hold older answers.
+const NAMED_SHARE: f64 = 0.75;
+
 /// The hosts of the fleet, and which of them callers are led to.
 #[derive(Clone, Debug)]
 pub struct HostTable {
@@ -242,6 +246,21 @@
             .collect()
     }
 
+    /// This host's part of what all hosts may do together, from 0 to 1. Hosts
+    /// that callers are led to share most of it, the others the rest.
+    pub fn own_share(&self, now: MonotonicTime) -> f64 {
+        let active = self.active(now);
+        let others = self.rows.len().saturating_sub(active).max(1);
+        let is_named = self
+            .named_here(now)
+            .iter()
+            .any(|row| row.name == self.own.name);
+        match is_named {
+            true => NAMED_SHARE / active as f64,
+            false => (1.0 - NAMED_SHARE) / others as f64,
+        }
+    }
+
     /// One host in each other zone to report to, another one each `turn`.
     pub fn far_peers(&self, turn: usize) -> Vec<&HostRow> {
         let mut zones: BTreeMap<&str, Vec<&HostRow>> = BTreeMap::new();
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod host_table;
 mod lapse_rule;
 mod pool_settings;
+mod read_timer;
 mod retry_allowance;
 mod server_entry;
 mod server_pool;
@@ -18,6 +19,7 @@
     host_table::{HostRow, HostTable, HostTableSettings, PeerReport, PeerSighting},
     lapse_rule::{LapseRule, LapseSettings},
     pool_settings::PoolSettings,
+    read_timer::{ReadState, ReadTimer},
     retry_allowance::{AllowanceSettings, RetryAllowance},
     server_entry::ServerEntry,
     server_pool::{
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -30,8 +30,17 @@
     pub test_chance: f64,
     /// Time between two requests that test a suspected server.
     pub test_pause: Duration,
-    /// Time for which a server that turned a request away counts as full.
+    /// Time for which a server that turned a request away is passed over if
+    /// others are as good.
     pub shed_pause: Duration,
+    /// Cost of a server that turned a request away a moment ago: the repeat
+    /// is dear where all servers do so.
+    pub shed_cost: Duration,
+    /// Gain of showing whether a server of which nothing was heard for long
+    /// is sound, for requests that may be sent again.
+    pub verify_cost: Duration,
+    /// Time after which little is known of a server.
+    pub verify_span: Duration,
     /// Waiting requests a slot, for the most urgent kind. Less urgent kinds
     /// get half as many for each rank.
     pub queue_share: f64,
@@ -55,7 +64,10 @@
             full_cost: Duration::from_millis(120),
             jitter: Duration::from_millis(20),
             test_pause: Duration::from_millis(500),
-            shed_pause: Duration::from_millis(150),
+            shed_pause: Duration::from_millis(300),
+            shed_cost: Duration::from_millis(500),
+            verify_cost: Duration::from_millis(60),
+            verify_span: Duration::from_secs(1),
             queue_share: 2.0,
             cold_share: 0.6,
             peer_load_span: Duration::from_secs(3),
--- a/crates/mangostep-policy/src/dispatch/retry_allowance.rs
+++ b/crates/mangostep-policy/src/dispatch/retry_allowance.rs
@@ -63,15 +63,15 @@
 
     /// Takes one repeat if this host's part of the budget has one left.
     ///
-    /// `hosts` is the number of hosts that share the slack.
-    pub fn take(&mut self, service: &str, hosts: usize, now: MonotonicTime) -> bool {
+    /// `slack_share` is this host's part of the slack, from 0 to 1.
+    pub fn take(&mut self, service: &str, slack_share: f64, now: MonotonicTime) -> bool {
         let settings = self.settings.clone();
         let windows = self.windows(service);
         let requests = f64::from(windows.requests.count(now, settings.window));
         // One second more than the window, for any span of that length counts.
         let span = settings.window + Duration::from_secs(1);
         let repeats = f64::from(windows.repeats.count(now, span));
-        let own_slack = settings.slack / hosts.max(1) as f64;
+        let own_slack = settings.slack * slack_share;
         let allowed = (requests * settings.ratio + own_slack) * settings.used_share;
         let is_left = repeats + 1.0 <= allowed;
         if is_left {
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -462,7 +462,7 @@
         let queue = (f64::from(slots) * self.settings.queue_share * rank_share).floor();
         let fits = f64::from(running) < f64::from(slots) + queue;
         let in_time = wait + length < ask.time_left || ahead == 0;
-        (wait, fits && in_time && record.full_until <= now)
+        (wait, fits && in_time)
     }
 
     /// What sending the request to the server is expected to cost, in
@@ -485,6 +485,9 @@
         if record.held_until.is_some() {
             cost += settings.repeat_cost.as_secs_f64();
         }
+        if record.full_until > now {
+            cost += settings.shed_cost.as_secs_f64();
+        }
         let chance = self.chance_of(record, now);
         let is_repeatable = ask.kind == RequestKind::Idempotent && ask.may_repeat;
         if !is_repeatable {
@@ -507,7 +510,13 @@
                 false => cost + chance * settings.lost_cost.as_secs_f64(),
             };
         }
-        // Leaves the servers that rarely fail to requests that run once.
-        cost - repeat_cost * evidence.history(&settings.evidence)
+        // Leaves the servers that rarely fail to requests that run once, and
+        // looks after those of which nothing was heard for long.
+        let age = tested.map_or(1.0, |at| {
+            let spans = now.since(at).as_secs_f64() / settings.verify_span.as_secs_f64();
+            1.0 - (-spans).exp()
+        });
+        let gain = settings.verify_cost.as_secs_f64() * age;
+        cost - gain - repeat_cost * evidence.history(&settings.evidence)
     }
 }
--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -52,9 +52,9 @@
     dispatch::{
         ActiveWindow, AllowanceSettings, ChoiceAsk, ChoiceRefusal, CopyDelta, CopyRow,
         EvidenceSettings, HostRow, HostTable, HostTableSettings, LapseRule, LapseSettings,
-        LedgerAsk, LedgerSettings, PeerKey, PeerReport, PeerSighting, PoolSettings, RetryAllowance,
-        ServerChoice, ServerEntry, ServerEvidence, ServerKey, ServerPool, ServerSignal, SplitTurn,
-        TableCopy, TokenLedger, TokenVerdict,
+        LedgerAsk, LedgerSettings, PeerKey, PeerReport, PeerSighting, PoolSettings, ReadState,
+        ReadTimer, RetryAllowance, ServerChoice, ServerEntry, ServerEvidence, ServerKey,
+        ServerPool, ServerSignal, SplitTurn, TableCopy, TokenLedger, TokenVerdict,
     },
     lease::{
         Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
