Let three hosts a zone follow the store, and tell all hosts of busy servers

Ruled out: longer pauses between calls (changes must be in force in 2 s).

Change: the first three hosts of a zone by rendezvous order that the store answers follow it; the others read changes from them when a report shows that they are behind, and take over after 1.2 s of silence. Starts at cold, full and far servers go to all hosts that send requests; a cold server takes what it bears where the warm ones are likely to fail. Less urgent requests leave part of the retry budget to others.

--- a/crates/mangostep-entry/src/back/connection.rs
+++ b/crates/mangostep-entry/src/back/connection.rs
@@ -14,7 +14,7 @@
 
 /// Time without acknowledged data after which a connection is broken; it
 /// shows connections that went silent.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
+const USER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Pause before and between keep-alive probes of a silent connection.
 const KEEPALIVE_PAUSE: Duration = Duration::from_secs(1);
--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -40,6 +40,10 @@
     pub(crate) phase: Cell<HostPhase>,
     /// Bytes of bodies that are held for requests under way.
     pub(crate) held_bytes: Cell<u64>,
+    /// Whether the last call to the store failed.
+    pub(crate) store_failed: Cell<bool>,
+    /// Wakes the reports when a table changed.
+    pub(crate) report_wake: tokio::sync::Notify,
     /// Requests under way.
     pub(crate) held_requests: Cell<u64>,
 }
--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -37,10 +37,17 @@
 /// half of the time in which changes must be in force.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(1_000);
 
+/// Time between two looks whether this host follows the store.
+const ROLE_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time that the own reading gets before a change is read from a host that
-/// has it already.
+/// has it already, where this host follows the store itself.
 const BEHIND_PAUSE: Duration = Duration::from_millis(150);
 
+/// Longest time between the news of a change and its reading from another
+/// host; hosts of a zone spread over it.
+const SPREAD_PAUSE: Duration = Duration::from_millis(40);
+
 /// Time between two looks for held servers that are to be given up.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -53,6 +60,10 @@
     let mut is_whole = false;
     let mut failures = 0;
     while context.phase.get() < HostPhase::Closing {
+        if is_whole && !context.hosts.borrow().is_watcher(clock::now()) {
+            tokio::time::sleep(ROLE_PAUSE).await;
+            continue;
+        }
         let after = context.tables.borrow().of(table).copy.version();
         let read = match is_whole {
             true => platform.watch_table(table, after, WATCH_WAIT).await,
@@ -66,6 +77,7 @@
                 }
                 failures = 0;
                 is_whole = true;
+                context.store_failed.set(false);
                 apply(&context, &*platform, table, delta, "store");
                 let pause = match table {
                     FleetTable::Hosts => HOSTS_PAUSE,
@@ -87,8 +99,8 @@
                 context
                     .counters
                     .count("store-call-failed", &[("table", table.as_str())]);
-                // Another path of the store may have skipped changes.
                 is_whole &= fault.kind != StoreFaultKind::Malformed;
+                context.store_failed.set(true);
                 let pause = FAILURE_PAUSE_MIN * 2_u32.pow(failures.min(4));
                 failures += 1;
                 let spread = context.random.borrow_mut().random_range(0.7..1.3);
@@ -104,7 +116,14 @@
         let wake = context.peers.behind_wake.notified();
         // Without any host to hear from, the seeds are asked.
         let _ = tokio::time::timeout(FAILURE_PAUSE_MAX, wake).await;
-        tokio::time::sleep(BEHIND_PAUSE).await;
+        let pause = match context.hosts.borrow().is_watcher(clock::now()) {
+            true => BEHIND_PAUSE,
+            false => {
+                let spread = context.random.borrow_mut().random_range(0.0..1.0);
+                SPREAD_PAUSE.mul_f64(spread)
+            }
+        };
+        tokio::time::sleep(pause).await;
         let mut behind: Vec<(FleetTable, SocketAddr)> =
             context.peers.behind.borrow_mut().drain().collect();
         for table in FleetTable::ALL {
@@ -172,6 +191,7 @@
     if !changed.is_empty() || is_first {
         let digest = digest_of(context, platform, table);
         context.tables.borrow_mut().of_mut(table).digest = digest;
+        context.report_wake.notify_one();
     }
 }
 
--- a/crates/mangostep-entry/src/forward/running.rs
+++ b/crates/mangostep-entry/src/forward/running.rs
@@ -7,16 +7,23 @@
 pub(crate) struct RunningRequest {
     context: Rc<HostContext>,
     key: ServerKey,
+    /// Whether hosts of all zones learn of it.
+    is_wide: bool,
     is_told: bool,
 }
 
 impl RunningRequest {
     pub(crate) fn open(context: &Rc<HostContext>, key: ServerKey) -> Self {
-        context.pool.borrow_mut().start(key);
-        peers::tell_signal(context, key, None);
+        let now = clock::now();
+        let mut pool = context.pool.borrow_mut();
+        pool.start(key, now);
+        let is_wide = pool.concerns_all(key, &context.settings.zone, now);
+        drop(pool);
+        peers::tell_signal(context, key, None, is_wide);
         RunningRequest {
             context: Rc::clone(context),
             key,
+            is_wide,
             is_told: false,
         }
     }
@@ -27,7 +34,7 @@
         let mut pool = self.context.pool.borrow_mut();
         pool.note_own(self.key, ServerSignal::Stall, now);
         drop(pool);
-        peers::tell_signal(&self.context, self.key, Some(ServerSignal::Stall));
+        peers::tell_signal(&self.context, self.key, Some(ServerSignal::Stall), true);
     }
 
     /// Ends the request with what it showed of the server.
@@ -41,7 +48,7 @@
         pool.finish(self.key);
         pool.note_own(self.key, signal, clock::now());
         drop(pool);
-        peers::tell_signal(&self.context, self.key, Some(signal));
+        peers::tell_signal(&self.context, self.key, Some(signal), self.is_wide);
     }
 }
 
--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -152,6 +152,7 @@
             priority: self.planned.priority,
             time_left: self.time_left(),
             own_rate_per_s: allowance.request_rate(&service.name, now),
+            sees_others: self.context.hosts.borrow().is_named(now),
             may_repeat: self.runs == 0,
         };
         let pool = self.context.pool.borrow();
@@ -171,7 +172,12 @@
         let now = clock::now();
         let share = self.context.hosts.borrow().own_share(now);
         let mut allowance = self.context.allowance.borrow_mut();
-        allowance.take(&self.planned.service.name, share, now)
+        allowance.take(
+            &self.planned.service.name,
+            share,
+            self.planned.priority,
+            now,
+        )
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -146,6 +146,8 @@
         phase: Cell::new(HostPhase::Serving),
         held_bytes: Cell::new(0),
         held_requests: Cell::new(0),
+        store_failed: Cell::new(false),
+        report_wake: tokio::sync::Notify::new(),
         settings,
     })
 }
--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -57,6 +57,8 @@
     pub(crate) server: Cow<'a, str>,
     pub(crate) started_ms: u64,
     pub(crate) running: u32,
+    /// Whether a request was sent just now.
+    pub(crate) is_start: bool,
     pub(crate) signal: Option<SignalCode>,
 }
 
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -92,6 +92,9 @@
         return;
     }
     pool.note_peer_running(key, peer_key(from), report.running, now);
+    if report.is_start {
+        pool.note_start(key, now);
+    }
     // What one host cannot reach may be sound for the others.
     let told = report
         .signal
--- a/crates/mangostep-entry/src/peers/reporting.rs
+++ b/crates/mangostep-entry/src/peers/reporting.rs
@@ -25,7 +25,9 @@
     while context.phase.get() < HostPhase::Closing {
         report_once(&context, turn);
         turn += 1;
-        tokio::time::sleep(REPORT_PAUSE).await;
+        // A change is told at once, for other hosts learn of it from here.
+        let wake = context.report_wake.notified();
+        let _ = tokio::time::timeout(REPORT_PAUSE, wake).await;
     }
 }
 
@@ -36,6 +38,7 @@
         incarnation: context.incarnation,
         is_ready: context.is_ready(),
         rate_per_s: context.requests.borrow_mut().rate(now, RATE_SPAN),
+        store_failed: context.store_failed.get(),
         capacity_per_s: context.settings.cpu_share * REQUESTS_PER_CORE,
     };
     let mut hosts = context.hosts.borrow_mut();
--- a/crates/mangostep-entry/src/peers/signals.rs
+++ b/crates/mangostep-entry/src/peers/signals.rs
@@ -12,8 +12,14 @@
 /// there.
 ///
 /// Starts and successes go to hosts of the own zone that send requests, who
-/// mostly use the same servers. Failures go to all hosts that send requests.
-pub(crate) fn tell_signal(context: &HostContext, key: ServerKey, signal: Option<ServerSignal>) {
+/// mostly use the same servers. Failures, and what is told widely, go to all
+/// hosts that send requests.
+pub(crate) fn tell_signal(
+    context: &HostContext,
+    key: ServerKey,
+    signal: Option<ServerSignal>,
+    is_wide: bool,
+) {
     let pool = context.pool.borrow();
     let Some(entry) = pool.entry(key) else {
         return;
@@ -23,12 +29,13 @@
         server: Cow::Borrowed(&entry.id),
         started_ms: entry.started_ms,
         running: pool.own_running(key),
+        is_start: signal.is_none(),
         signal: code,
     };
     let bytes = encode(&PeerMessage::Signal(report));
     let is_failure = code.is_some_and(|code| code != SignalCode::Success);
     let hosts = context.hosts.borrow();
-    let observers = match is_failure {
+    let observers = match is_failure || is_wide {
         true => hosts.observers(clock::now()),
         false => hosts.near_observers(clock::now()),
     };
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -36,6 +36,8 @@
     pub rate_per_s: f64,
     /// Requests a second that it can carry.
     pub capacity_per_s: f64,
+    /// Whether its last call to the platform's store failed.
+    pub store_failed: bool,
 }
 
 /// A host that was heard of, by itself or by another host.
@@ -53,6 +55,12 @@
     /// Silence after which a host counts as gone: three reports, each half a
     /// second after the other, and a little for their delay.
     pub silence: Duration,
+    /// Hosts of each zone that follow the store; the others read from them.
+    /// Two may fail or be refused at once.
+    pub watchers: usize,
+    /// Silence after which a host that follows the store is replaced; sooner
+    /// than it counts as gone, for changes must be in force within seconds.
+    pub watcher_silence: Duration,
     /// Most hosts of the own availability zone that get each report.
     pub zone_peers: usize,
     /// Fewest hosts that callers of a zone are led to, as long as so many
@@ -68,6 +76,8 @@
     fn default() -> Self {
         HostTableSettings {
             silence: Duration::from_millis(1_700),
+            watchers: 3,
+            watcher_silence: Duration::from_millis(1_200),
             zone_peers: 24,
             named_min: 4,
             named_max: 64,
@@ -227,6 +237,22 @@
         }
     }
 
+    /// Whether this host follows the store: it is among the first of its zone
+    /// that the store answers.
+    pub fn is_watcher(&self, now: MonotonicTime) -> bool {
+        let names = self.zone_rows(&self.own.zone).map(|row| row.name.as_str());
+        let able = names.filter(|name| {
+            *name == self.own.name
+                || self.seen.get(*name).is_some_and(|seen| {
+                    now.since(seen.heard) < self.settings.watcher_silence
+                        && !seen.report.store_failed
+                })
+        });
+        let order = rendezvous_order("watch", able);
+        let first = order.iter().take(self.settings.watchers);
+        first.into_iter().any(|name| *name == self.own.name)
+    }
+
     /// Hosts that send requests now, the own one included.
     pub fn active(&self, now: MonotonicTime) -> usize {
         let elsewhere = self.zone_named.values();
@@ -246,16 +272,18 @@
             .collect()
     }
 
+    /// Whether callers are led to this host.
+    pub fn is_named(&self, now: MonotonicTime) -> bool {
+        let named = self.named_here(now);
+        named.iter().any(|row| row.name == self.own.name)
+    }
+
     /// This host's part of what all hosts may do together, from 0 to 1. Hosts
     /// that callers are led to share most of it, the others the rest.
     pub fn own_share(&self, now: MonotonicTime) -> f64 {
         let active = self.active(now);
         let others = self.rows.len().saturating_sub(active).max(1);
-        let is_named = self
-            .named_here(now)
-            .iter()
-            .any(|row| row.name == self.own.name);
-        match is_named {
+        match self.is_named(now) {
             true => NAMED_SHARE / active as f64,
             false => (1.0 - NAMED_SHARE) / others as f64,
         }
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -69,7 +69,7 @@
             verify_cost: Duration::from_millis(60),
             verify_span: Duration::from_secs(1),
             queue_share: 2.0,
-            cold_share: 0.6,
+            cold_share: 0.75,
             peer_load_span: Duration::from_secs(3),
             initial_length: Duration::from_millis(250),
         }
--- a/crates/mangostep-policy/src/dispatch/retry_allowance.rs
+++ b/crates/mangostep-policy/src/dispatch/retry_allowance.rs
@@ -14,6 +14,8 @@
     /// Share of both that hosts use together. The rest covers requests that
     /// a window counts a moment later than their repeats.
     pub used_share: f64,
+    /// Share that the least urgent requests leave to the others.
+    pub reserved_share: f64,
 }
 
 impl Default for AllowanceSettings {
@@ -22,7 +24,8 @@
             ratio: 0.2,
             slack: 60.0,
             window: Duration::from_secs(10),
-            used_share: 0.85,
+            used_share: 0.88,
+            reserved_share: 0.4,
         }
     }
 }
@@ -63,8 +66,15 @@
 
     /// Takes one repeat if this host's part of the budget has one left.
     ///
-    /// `slack_share` is this host's part of the slack, from 0 to 1.
-    pub fn take(&mut self, service: &str, slack_share: f64, now: MonotonicTime) -> bool {
+    /// `slack_share` is this host's part of the slack, from 0 to 1. Requests
+    /// of a lower `priority` leave a part of the budget to more urgent ones.
+    pub fn take(
+        &mut self,
+        service: &str,
+        slack_share: f64,
+        priority: u32,
+        now: MonotonicTime,
+    ) -> bool {
         let settings = self.settings.clone();
         let windows = self.windows(service);
         let requests = f64::from(windows.requests.count(now, settings.window));
@@ -72,7 +82,9 @@
         let span = settings.window + Duration::from_secs(1);
         let repeats = f64::from(windows.repeats.count(now, span));
         let own_slack = settings.slack * slack_share;
-        let allowed = (requests * settings.ratio + own_slack) * settings.used_share;
+        let rank_share = 1.0 - settings.reserved_share * f64::from(priority.min(2)) / 2.0;
+        let budget = requests * settings.ratio + own_slack;
+        let allowed = budget * settings.used_share * rank_share;
         let is_left = repeats + 1.0 <= allowed;
         if is_left {
             windows.repeats.add(now);
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -40,6 +40,8 @@
     pub time_left: Duration,
     /// Rate of requests for the service on this host, a second.
     pub own_rate_per_s: f64,
+    /// Whether this host learns what the others send: callers are led to it.
+    pub sees_others: bool,
     /// Whether a failure could be sent again within the budget.
     pub may_repeat: bool,
 }
@@ -105,6 +107,9 @@
     peers_running: Vec<(PeerKey, u32, MonotonicTime)>,
     cold_until: MonotonicTime,
     full_until: MonotonicTime,
+    /// Requests that were sent to the server in the last second, from all
+    /// hosts that told of them; kept while it is cold.
+    cold_starts: VecDeque<MonotonicTime>,
     /// When an entry that lapsed is given up.
     held_until: Option<MonotonicTime>,
 }
@@ -137,6 +142,10 @@
 /// Share of a new measurement in the mean length of requests.
 const LENGTH_SHARE: f64 = 0.05;
 
+/// Chance of a failure from which on a warm server is no better than a cold
+/// one, which runs slowly.
+const DEAR_CHANCE: f64 = 0.25;
+
 /// Suspicion below which a server counts as sound.
 const SUSPICION_MIN: f64 = 0.1;
 
@@ -191,6 +200,7 @@
             peers_running: Vec::new(),
             cold_until: now + cold,
             full_until: MonotonicTime::ZERO,
+            cold_starts: VecDeque::new(),
             held_until: None,
         });
         self.by_id.insert(entry.id.clone(), key);
@@ -283,11 +293,39 @@
             .map_or(0.0, |record| self.chance_of(record, now))
     }
 
-    /// Takes note of a request that is sent to a server.
-    pub fn start(&mut self, key: ServerKey) {
+    /// Takes note of a request that this host sends to a server.
+    pub fn start(&mut self, key: ServerKey, now: MonotonicTime) {
         if let Some(record) = self.servers.get_mut(key) {
             record.own_running += 1;
         }
+        self.note_start(key, now);
+    }
+
+    /// Takes note of a request that any host sends to a server.
+    pub fn note_start(&mut self, key: ServerKey, now: MonotonicTime) {
+        let Some(record) = self.servers.get_mut(key) else {
+            return;
+        };
+        let second = Duration::from_secs(1);
+        let starts = &mut record.cold_starts;
+        while starts
+            .front()
+            .is_some_and(|start| now.since(*start) >= second)
+        {
+            starts.pop_front();
+        }
+        if record.cold_until > now {
+            starts.push_back(now);
+        }
+    }
+
+    /// Whether hosts of all zones should learn what runs at a server: it is
+    /// cold, full, or in another zone than this host.
+    pub fn concerns_all(&self, key: ServerKey, zone: &str, now: MonotonicTime) -> bool {
+        self.servers.get(key).is_some_and(|record| {
+            let running = record.running(self.settings.peer_load_span, now);
+            record.entry.zone != zone || record.cold_until > now || running >= record.entry.slots
+        })
     }
 
     /// Takes note of the end of a request that [`ServerPool::start`] counted.
@@ -389,7 +427,7 @@
         let mut best: Option<(f64, ServerKey)> = None;
         let mut refusal = ChoiceRefusal::NoServer;
         let mut shortest_wait = RETRY_AFTER_MAX;
-        let mut cold_pick = None;
+        let (mut cold_pick, mut cold_spare) = (None, None);
         for key in keys.iter().copied().filter(|key| self.may_take(*key)) {
             if ask.tried.contains(&key) {
                 continue;
@@ -399,9 +437,13 @@
                 if refusal == ChoiceRefusal::NoServer {
                     refusal = ChoiceRefusal::AllCold;
                 }
-                let may_take = record.running(self.settings.peer_load_span, now) == 0;
-                if may_take && random.random_bool(self.cold_chance(ask, cold_rate_per_s)) {
-                    cold_pick = Some(key);
+                if self.cold_fits(record, cold_rate_per_s, now) {
+                    if cold_spare.is_none_or(|other| self.cold_order(other, key)) {
+                        cold_spare = Some(key);
+                    }
+                    if random.random_bool(self.cold_chance(ask, cold_rate_per_s)) {
+                        cold_pick = Some(key);
+                    }
                 }
                 continue;
             }
@@ -420,6 +462,13 @@
         if let Some(key) = cold_pick {
             return ServerChoice::Send(key);
         }
+        // Where the warm servers most likely fail or are full, a cold one
+        // takes what it bears.
+        let dear = self.settings.lost_cost.as_secs_f64() * DEAR_CHANCE;
+        let is_dear = best.is_none_or(|(cost, _)| cost > dear);
+        if let Some(key) = cold_spare.filter(|_| is_dear && ask.sees_others) {
+            return ServerChoice::Send(key);
+        }
         match best {
             Some((_, key)) => ServerChoice::Send(key),
             None => {
@@ -436,6 +485,29 @@
         1.0 - (1.0 - shared) * (1.0 - own)
     }
 
+    /// Whether a cold server had less than it bears in the last second.
+    fn cold_fits(
+        &self,
+        record: &ServerRecord,
+        cold_rate_per_s: Option<f64>,
+        now: MonotonicTime,
+    ) -> bool {
+        let second = Duration::from_secs(1);
+        let starts = record
+            .cold_starts
+            .iter()
+            .filter(|start| now.since(**start) < second);
+        let running = record.running(self.settings.peer_load_span, now);
+        let bears = cold_rate_per_s.unwrap_or(f64::INFINITY) * self.settings.cold_share;
+        running < record.entry.slots && starts.count() as f64 + 1.0 <= bears.max(1.0)
+    }
+
+    /// Whether `second` has had less in its cold start than `first`.
+    fn cold_order(&self, first: ServerKey, second: ServerKey) -> bool {
+        let starts = |key: ServerKey| self.servers[key].cold_starts.len();
+        starts(second) < starts(first)
+    }
+
     /// Chance that a request goes to one given cold server, so that all hosts
     /// together send it a part of what it bears.
     fn cold_chance(&self, ask: ChoiceAsk<'_>, cold_rate_per_s: Option<f64>) -> f64 {
