Open token buckets nearly empty

Ruled out: homes that grant twice (asks are answered alike when repeated).

Change: buckets open with a tenth of the burst; parts granted alone halve.

--- a/crates/mangostep-entry/src/peers/tokens.rs
+++ b/crates/mangostep-entry/src/peers/tokens.rs
@@ -54,7 +54,7 @@
         context,
         &own,
         limit.rate_per_s / hosts,
-        (limit.burst / hosts).max(1.0),
+        (limit.burst / hosts / 2.0).max(1.0),
     )
 }
 
--- a/crates/mangostep-policy/src/dispatch/token_ledger.rs
+++ b/crates/mangostep-policy/src/dispatch/token_ledger.rs
@@ -8,8 +8,9 @@
 /// Settings of a [`TokenLedger`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct LedgerSettings {
-    /// Share of the burst that a bucket holds when it opens after the host
-    /// did. The bucket's former home may have given the rest.
+    /// Share of the burst that a bucket holds when it opens. Its former home
+    /// may have given the burst already, and several homes may follow each
+    /// other within one window of the limit.
     pub opening_share: f64,
     /// Answers that are kept for asks that were sent again.
     pub remembered_asks: usize,
@@ -18,7 +19,7 @@
 impl Default for LedgerSettings {
     fn default() -> Self {
         LedgerSettings {
-            opening_share: 0.5,
+            opening_share: 0.1,
             remembered_asks: 512,
         }
     }
