Believe in failing spells by Bayes' rule

Change: a belief a server that follows each outcome and returns to the share of failing servers in 8 s; pauses between tests grow with failures in a row; a request that stalls and then fails is one piece of evidence.

--- a/crates/mangostep-entry/src/forward/running.rs
+++ b/crates/mangostep-entry/src/forward/running.rs
@@ -1,3 +1,5 @@
+use std::cell::Cell;
+
 use mangostep_policy::{ServerKey, ServerSignal};
 
 use crate::{clock, peers, prelude::*};
@@ -9,6 +11,8 @@
     key: ServerKey,
     /// Whether hosts of all zones learn of it.
     is_wide: bool,
+    /// Whether it took too long, which was told then.
+    has_stalled: Cell<bool>,
     is_told: bool,
 }
 
@@ -24,6 +28,7 @@
             context: Rc::clone(context),
             key,
             is_wide,
+            has_stalled: Cell::new(false),
             is_told: false,
         }
     }
@@ -31,6 +36,7 @@
     /// Takes note that the request should have ended by now.
     pub(crate) fn note_stall(&self) {
         let now = clock::now();
+        self.has_stalled.set(true);
         let mut pool = self.context.pool.borrow_mut();
         pool.note_own(self.key, ServerSignal::Stall, now);
         drop(pool);
@@ -44,6 +50,11 @@
 
     fn end(&mut self, signal: ServerSignal) {
         self.is_told = true;
+        // One request is one piece of evidence.
+        let signal = match signal {
+            ServerSignal::Failure if self.has_stalled.get() => ServerSignal::Nothing,
+            signal => signal,
+        };
         let mut pool = self.context.pool.borrow_mut();
         pool.finish(self.key);
         pool.note_own(self.key, signal, clock::now());
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -25,10 +25,11 @@
     pub full_cost: Duration,
     /// Span of the random cost that keeps hosts from choosing alike.
     pub jitter: Duration,
-    /// Chance of a failure below which a suspected server is tested; above
-    /// it a test would most likely fail.
-    pub test_chance: f64,
-    /// Time between two requests that test a suspected server.
+    /// Chance of a failure from which on a server is suspected: well above
+    /// that of a server of which nothing is known.
+    pub suspected_chance: f64,
+    /// Time between an outcome and the first request that tests a suspected
+    /// server; longer with each failure.
     pub test_pause: Duration,
     /// Time for which a server that turned a request away is passed over if
     /// others are as good.
@@ -57,13 +58,13 @@
         PoolSettings {
             evidence: EvidenceSettings::default(),
             own_path: EvidenceSettings::own_path(),
-            test_chance: 0.45,
+            suspected_chance: 0.2,
             lost_cost: Duration::from_secs(4),
             repeat_cost: Duration::from_millis(250),
             zone_cost: Duration::from_millis(30),
             full_cost: Duration::from_millis(120),
             jitter: Duration::from_millis(20),
-            test_pause: Duration::from_millis(500),
+            test_pause: Duration::from_millis(600),
             shed_pause: Duration::from_millis(300),
             shed_cost: Duration::from_millis(500),
             verify_cost: Duration::from_millis(60),
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -146,8 +146,11 @@
 /// one, which runs slowly.
 const DEAR_CHANCE: f64 = 0.25;
 
-/// Suspicion below which a server counts as sound.
-const SUSPICION_MIN: f64 = 0.1;
+/// Failures in a row beyond which the pauses between tests grow no more.
+const TEST_STREAK_MAX: u32 = 5;
+
+/// Times the pause where a test would hang rather than fail at once.
+const STALL_TEST_FACTOR: u32 = 2;
 
 /// Longest Retry-After; callers wait at most a third of their time.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
@@ -361,10 +364,10 @@
             let settings = &self.settings.own_path;
             match signal {
                 ServerSignal::Success => record.own_path.note_success(settings, now),
-                ServerSignal::Failure | ServerSignal::Unreachable => {
-                    record.own_path.note_failure(settings, now);
+                ServerSignal::Failure => record.own_path.note_failure(settings, now),
+                ServerSignal::Stall | ServerSignal::Unreachable => {
+                    record.own_path.note_stall(settings, now);
                 }
-                ServerSignal::Stall => record.own_path.note_stall(settings, now),
                 ServerSignal::Error | ServerSignal::Shed | ServerSignal::Nothing => {}
             }
         }
@@ -381,10 +384,9 @@
         let settings = &self.settings.evidence;
         match signal {
             ServerSignal::Success => record.evidence.note_success(settings, now),
-            ServerSignal::Failure | ServerSignal::Unreachable => {
+            ServerSignal::Failure | ServerSignal::Unreachable | ServerSignal::Error => {
                 record.evidence.note_failure(settings, now);
             }
-            ServerSignal::Error => record.evidence.note_error(settings, now),
             ServerSignal::Stall => record.evidence.note_stall(settings, now),
             ServerSignal::Shed => record.full_until = now + self.settings.shed_pause,
             ServerSignal::Nothing => {}
@@ -481,10 +483,28 @@
 
     fn chance_of(&self, record: &ServerRecord, now: MonotonicTime) -> f64 {
         let shared = record.evidence.chance(&self.settings.evidence, now);
-        let own = record.own_path.suspicion_at(&self.settings.own_path, now);
+        let own = record.own_path.belief(&self.settings.own_path, now);
         1.0 - (1.0 - shared) * (1.0 - own)
     }
 
+    /// Whether a suspected server may be tested: the longer it fails, the
+    /// longer the pauses.
+    fn is_test_due(&self, record: &ServerRecord, now: MonotonicTime) -> bool {
+        let evidence = &record.evidence;
+        let own = &record.own_path;
+        let streak = evidence
+            .streak()
+            .max(own.streak())
+            .clamp(1, TEST_STREAK_MAX);
+        let factor = match evidence.is_stalled() || own.is_stalled() {
+            true => streak * STALL_TEST_FACTOR,
+            false => streak,
+        };
+        let last = evidence.last_outcome().max(own.last_outcome());
+        let running = record.running(self.settings.peer_load_span, now);
+        running == 0 && last.is_none_or(|at| now.since(at) >= self.settings.test_pause * factor)
+    }
+
     /// Whether a cold server had less than it bears in the last second.
     fn cold_fits(
         &self,
@@ -566,29 +586,19 @@
             return cost + chance * settings.lost_cost.as_secs_f64();
         }
         let repeat_cost = settings.repeat_cost.as_secs_f64();
-        let tested = evidence.last_outcome();
-        let is_due = tested.is_none_or(|at| now.since(at) >= settings.test_pause);
-        let own = record.own_path.suspicion_at(&settings.own_path, now);
-        let suspicion = evidence.suspicion_at(&settings.evidence, now).max(own);
-        if suspicion > SUSPICION_MIN {
+        if chance > settings.suspected_chance {
             // A request that may be repeated tells whether the server is
-            // sound again, unless it would hang there.
-            let is_test = is_due
-                && suspicion < settings.test_chance
-                && !evidence.is_stalled()
-                && running == 0.0;
-            return match is_test {
+            // sound again.
+            return match self.is_test_due(record, now) {
                 true => cost - repeat_cost,
                 false => cost + chance * settings.lost_cost.as_secs_f64(),
             };
         }
-        // Leaves the servers that rarely fail to requests that run once, and
-        // looks after those of which nothing was heard for long.
-        let age = tested.map_or(1.0, |at| {
+        // Looks after servers of which nothing was heard for long.
+        let age = evidence.last_outcome().map_or(1.0, |at| {
             let spans = now.since(at).as_secs_f64() / settings.verify_span.as_secs_f64();
             1.0 - (-spans).exp()
         });
-        let gain = settings.verify_cost.as_secs_f64() * age;
-        cost - gain - repeat_cost * evidence.history(&settings.evidence)
+        cost - settings.verify_cost.as_secs_f64() * age
     }
 }
