Explore servers that may be sound again, and test with room in the budget only

Change: while over 6 in 100 requests that run once fail on a host, a server without an outcome for 1.3 s whose belief is below 0.65 gets one; look-ups test suspected servers only with 0.4 of the retry budget left.

--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -41,6 +41,10 @@
 /// request away: others have room, and its return is a request of its own.
 const COME_BACK: Duration = Duration::from_millis(80);
 
+/// Share of the retry budget below which no request is risked on a suspected
+/// server, so that failures that come anyhow can be repeated.
+const TEST_ROOM: f64 = 0.4;
+
 /// Time for the last answer to reach the caller before its deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
@@ -143,7 +147,9 @@
     fn choose(&self) -> Result<(ServerKey, ServerEntry), (ChoiceRefusal, Duration)> {
         let now = clock::now();
         let service = self.planned.service;
+        let hosts = self.context.hosts.borrow();
         let mut allowance = self.context.allowance.borrow_mut();
+        let room = allowance.room(&service.name, hosts.own_share(now), now);
         let ask = ChoiceAsk {
             service: &service.name,
             kind: self.planned.route.kind,
@@ -152,9 +158,13 @@
             priority: self.planned.priority,
             time_left: self.time_left(),
             own_rate_per_s: allowance.request_rate(&service.name, now),
-            sees_others: self.context.hosts.borrow().is_named(now),
-            may_repeat: self.runs == 0,
+            sees_others: hosts.is_named(now),
+            may_repeat: self.runs == 0 && room > TEST_ROOM,
         };
+        if is_idempotent(self.planned) {
+            let mut pool = self.context.pool.borrow_mut();
+            pool.note_repeatable(&service.name, now);
+        }
         let pool = self.context.pool.borrow();
         let mut random = self.context.random.borrow_mut();
         match pool.choose(ask, service.cold_rate_per_s, &mut *random, now) {
@@ -215,6 +225,11 @@
             let mut pool = self.context.pool.borrow_mut();
             pool.note_length(&planned.service.name, started.elapsed());
         }
+        if !is_idempotent(planned) {
+            let is_served = signal == ServerSignal::Success;
+            let mut pool = self.context.pool.borrow_mut();
+            pool.note_ended(&planned.service.name, is_served, clock::now());
+        }
         running.close(signal);
         end
     }
--- a/crates/mangostep-policy/src/dispatch/active_window.rs
+++ b/crates/mangostep-policy/src/dispatch/active_window.rs
@@ -32,9 +32,14 @@
     /// Events in the last `span`, which is cut to 30 seconds.
     pub fn count(&mut self, now: MonotonicTime, span: Duration) -> u32 {
         self.advance(now);
-        let seconds = span.as_secs().clamp(1, SECONDS as u64 - 2);
-        let first = self.latest.saturating_sub(seconds);
-        (first..=self.latest)
+        self.count_at(now, span)
+    }
+
+    /// Events in the last `span`, without taking note of the time.
+    pub fn count_at(&self, now: MonotonicTime, span: Duration) -> u32 {
+        let present = now.as_micros() / 1_000_000;
+        let first = present.saturating_sub(span.as_secs().clamp(1, SECONDS as u64 - 2));
+        (first..=present.min(self.latest))
             .map(|second| self.counts[slot_of(second)])
             .sum()
     }
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -37,6 +37,17 @@
     /// Cost of a server that turned a request away a moment ago: the repeat
     /// is dear where all servers do so.
     pub shed_cost: Duration,
+    /// Time without any outcome after which a server that may be sound again
+    /// gets a request, also one that may run only once where no others come.
+    /// Sound servers must not stay without requests for two seconds.
+    pub explore_pause: Duration,
+    /// Share of failed requests above which that is done: in calm times the
+    /// risk is not worth it.
+    pub explore_failures: f64,
+    /// Time over which failed requests are counted for it.
+    pub explore_span: Duration,
+    /// Belief in a failing spell below which a server may be sound again.
+    pub explore_belief: f64,
     /// Gain of showing whether a server of which nothing was heard for long
     /// is sound, for requests that may be sent again.
     pub verify_cost: Duration,
@@ -67,6 +78,10 @@
             test_pause: Duration::from_millis(600),
             shed_pause: Duration::from_millis(300),
             shed_cost: Duration::from_millis(500),
+            explore_pause: Duration::from_millis(1_300),
+            explore_failures: 0.06,
+            explore_span: Duration::from_secs(3),
+            explore_belief: 0.65,
             verify_cost: Duration::from_millis(60),
             verify_span: Duration::from_secs(1),
             queue_share: 2.0,
--- a/crates/mangostep-policy/src/dispatch/retry_allowance.rs
+++ b/crates/mangostep-policy/src/dispatch/retry_allowance.rs
@@ -92,6 +92,16 @@
         is_left
     }
 
+    /// Share of this host's part of the budget that is left, from 0 to 1.
+    pub fn room(&mut self, service: &str, slack_share: f64, now: MonotonicTime) -> f64 {
+        let settings = self.settings.clone();
+        let windows = self.windows(service);
+        let requests = f64::from(windows.requests.count(now, settings.window));
+        let repeats = f64::from(windows.repeats.count(now, settings.window));
+        let budget = requests * settings.ratio + settings.slack * slack_share;
+        (1.0 - repeats / (budget * settings.used_share).max(1.0)).max(0.0)
+    }
+
     fn windows(&mut self, service: &str) -> &mut ServiceWindows {
         if !self.services.contains_key(service) {
             self.services
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     MonotonicTime,
-    dispatch::{PoolSettings, ServerEntry, ServerEvidence},
+    dispatch::{ActiveWindow, PoolSettings, ServerEntry, ServerEvidence},
 };
 
 new_key_type! {
@@ -136,9 +136,19 @@
     by_service: HashMap<String, Vec<ServerKey>>,
     zones_out: HashSet<String>,
     lengths: HashMap<String, Duration>,
+    /// When a service last had a request that may be repeated.
+    repeatable: HashMap<String, MonotonicTime>,
+    outcomes: HashMap<String, ServiceOutcomes>,
     hosts: usize,
 }
 
+/// Outcomes of this host's requests for one service that run at most once.
+#[derive(Clone, Debug, Default)]
+struct ServiceOutcomes {
+    all: ActiveWindow,
+    failed: ActiveWindow,
+}
+
 /// Share of a new measurement in the mean length of requests.
 const LENGTH_SHARE: f64 = 0.05;
 
@@ -393,6 +403,38 @@
         }
     }
 
+    /// Takes note that a service has a request that may be repeated.
+    pub fn note_repeatable(&mut self, service: &str, now: MonotonicTime) {
+        match self.repeatable.get_mut(service) {
+            Some(last) => *last = now,
+            None => drop(self.repeatable.insert(service.to_owned(), now)),
+        }
+    }
+
+    /// Takes note of a request that runs at most once and ended at a server of
+    /// a service.
+    pub fn note_ended(&mut self, service: &str, is_served: bool, now: MonotonicTime) {
+        if !self.outcomes.contains_key(service) {
+            let outcomes = ServiceOutcomes::default();
+            self.outcomes.insert(service.to_owned(), outcomes);
+        }
+        if let Some(outcomes) = self.outcomes.get_mut(service) {
+            outcomes.all.add(now);
+            if !is_served {
+                outcomes.failed.add(now);
+            }
+        }
+    }
+
+    /// Share of a service's requests that failed for good on this host.
+    fn failed_share(&self, service: &str, now: MonotonicTime) -> f64 {
+        let span = self.settings.explore_span;
+        self.outcomes.get(service).map_or(0.0, |outcomes| {
+            let all = outcomes.all.count_at(now, span).max(1);
+            f64::from(outcomes.failed.count_at(now, span)) / f64::from(all)
+        })
+    }
+
     /// Takes note of how long a request of a service ran.
     pub fn note_length(&mut self, service: &str, length: Duration) {
         match self.lengths.get_mut(service) {
@@ -487,6 +529,25 @@
         1.0 - (1.0 - shared) * (1.0 - own)
     }
 
+    /// Whether a server that may be sound again has waited so long that a
+    /// request which may run only once shows it, for lack of others.
+    fn is_exploration_due(&self, record: &ServerRecord, service: &str, now: MonotonicTime) -> bool {
+        let settings = &self.settings;
+        let is_long = |last: Option<MonotonicTime>| {
+            last.is_none_or(|at| now.since(at) >= settings.explore_pause)
+        };
+        let last = record
+            .evidence
+            .last_outcome()
+            .max(record.own_path.last_outcome());
+        self.failed_share(service, now) > settings.explore_failures
+            && is_long(last)
+            && is_long(self.repeatable.get(service).copied())
+            && record.running(settings.peer_load_span, now) == 0
+            && record.evidence.belief(&settings.evidence, now) < settings.explore_belief
+            && record.own_path.belief(&settings.own_path, now) < settings.explore_belief
+    }
+
     /// Whether a suspected server may be tested: the longer it fails, the
     /// longer the pauses.
     fn is_test_due(&self, record: &ServerRecord, now: MonotonicTime) -> bool {
@@ -583,6 +644,9 @@
         let chance = self.chance_of(record, now);
         let is_repeatable = ask.kind == RequestKind::Idempotent && ask.may_repeat;
         if !is_repeatable {
+            if self.is_exploration_due(record, ask.service, now) {
+                return cost - settings.verify_cost.as_secs_f64();
+            }
             return cost + chance * settings.lost_cost.as_secs_f64();
         }
         let repeat_cost = settings.repeat_cost.as_secs_f64();
