Explain one request from the collected logs

Ruled out: the time line command, which asks running hosts. Change: mangostep explain ID reads log lines and prints those of the request and of its servers in the order of their times.

--- a/crates/mangostep/src/main.rs
+++ b/crates/mangostep/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod command;
 mod entry;
+mod explain;
 mod fleet_access;
 mod members;
 mod publish;
@@ -29,6 +30,7 @@
   status             show hosts, versions in force, zones and ejections
   members            show the member set, or drop hosts that died for good
   timeline           show the events of all hosts in one order
+  explain ID [FILE]  tell the story of one request from logs
   replay TRACE...    run recorded events and compare with stated outcomes
   help [COMMAND]     show this text, or that of a command
   version            show the version
@@ -51,6 +53,7 @@
     let (run, usage): (Run, &str) = match name.as_str() {
         "serve" => (serve::run, serve::USAGE),
         "entry" => (entry::run, entry::USAGE),
+        "explain" => (explain::run, explain::USAGE),
         "check" => (check::run, check::USAGE),
         "publish" => (publish::run, publish::USAGE),
         "replay" => (replay::run, replay::USAGE),
