--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -176,6 +176,11 @@
         Err(refusal) => refusal.as_str(),
     };
     let status = answer.as_ref().map_or_else(|r| r.status(), |a| a.status);
+    if let Some(planned) = planned.filter(|_| answer.is_ok()) {
+        let service = &planned.service.name;
+        let latency = request.arrived.elapsed();
+        context.counters.record_latency(service, latency);
+    }
     context
         .counters
         .count("request-ended", &[("outcome", outcome)]);
