--- /dev/null
+++ b/crates/mangostep/tests/entry.rs
@@ -0,0 +1,202 @@
+//! A real entry host between real sockets: callers, two backend servers and a
+//! stand-in for the platform's store.
+
+#[path = "entry/scene.rs"]
+mod scene;
+
+use std::time::Duration;
+
+use scene::{BackMood, Scene};
+
+/// Within it a change must be in force, by the operators' agreement.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+#[tokio::test]
+async fn a_request_reaches_a_server_for_its_workspace_without_the_key() {
+    let scene = Scene::open().await;
+    let answer = scene.ask("GET", "/look/1", "r1", "north-key").await;
+    assert_eq!((answer.status, answer.id.as_deref()), (200, Some("r1")));
+    let seen = scene.runs("r1");
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].text("x-tenant"), Some("north"));
+    assert!(seen[0].text("authorization").is_none());
+    let left: u64 = seen[0]
+        .text("x-deadline-ms")
+        .expect("a deadline")
+        .parse()
+        .expect("a number");
+    assert!((1_000..=1_500).contains(&left), "{left} ms handed on");
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn unknown_keys_and_paths_reach_no_server() {
+    let scene = Scene::open().await;
+    assert_eq!(
+        scene.ask("GET", "/look/1", "r1", "other-key").await.status,
+        401
+    );
+    assert_eq!(
+        scene.ask("GET", "/look", "r2", "north-key").await.status,
+        404
+    );
+    assert_eq!(
+        scene.ask("GET", "/other/", "r3", "north-key").await.status,
+        404
+    );
+    assert!(
+        ["r1", "r2", "r3"]
+            .iter()
+            .all(|id| scene.runs(id).is_empty())
+    );
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn a_reset_lookup_is_sent_again_and_a_reset_booking_is_not() {
+    let scene = Scene::open().await;
+    scene.set_moods(BackMood::ResetsOnce);
+    let lookup = scene.ask("GET", "/look/1", "r1", "north-key").await;
+    assert_eq!((lookup.status, scene.runs("r1").len()), (200, 2));
+    scene.set_moods(BackMood::ResetsOnce);
+    let booking = scene.ask("POST", "/book/1", "r2", "north-key").await;
+    assert_eq!((booking.status, scene.runs("r2").len()), (502, 1));
+    assert!(!booking.is_signed);
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn a_booking_that_a_server_turned_away_runs_at_another_one() {
+    let scene = Scene::open().await;
+    scene.set_moods(BackMood::ShedsOnce);
+    let booking = scene.ask("POST", "/book/1", "r1", "north-key").await;
+    assert_eq!((booking.status, scene.runs("r1").len()), (200, 2));
+    scene.set_moods(BackMood::Sheds);
+    let refused = scene.ask("POST", "/book/1", "r2", "north-key").await;
+    assert_eq!(refused.status, 503);
+    assert!(
+        refused
+            .retry_after
+            .is_some_and(|seconds| seconds > 0.0 && seconds <= 2.0)
+    );
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn a_refusal_of_a_server_that_ran_the_booking_is_not_passed_on() {
+    let scene = Scene::open().await;
+    scene.set_moods(BackMood::RefusesAfterRun);
+    let booking = scene.ask("POST", "/book/1", "r1", "north-key").await;
+    assert_eq!((booking.status, booking.is_signed), (502, false));
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn a_late_second_answer_goes_to_nobody() {
+    let scene = Scene::open().await;
+    scene.set_moods(BackMood::AnswersTwice);
+    for number in 0..10 {
+        let id = format!("r{number}");
+        let answer = scene.ask("GET", "/look/1", &id, "north-key").await;
+        assert_eq!(
+            (answer.status, answer.id.as_deref()),
+            (200, Some(id.as_str()))
+        );
+    }
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn unsigned_and_cut_answers_are_no_success() {
+    let scene = Scene::open().await;
+    for (index, mood) in [BackMood::Unsigned, BackMood::CutsAnswers]
+        .into_iter()
+        .enumerate()
+    {
+        scene.set_moods(mood);
+        let id = format!("r{index}");
+        let booking = scene.ask("POST", "/book/1", &id, "north-key").await;
+        assert_eq!(
+            (booking.status, scene.runs(&id).len()),
+            (502, 1),
+            "{mood:?}"
+        );
+    }
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let scene = Scene::open().await;
+    let ids = ["r1", "r2", "r3", "r4"];
+    assert_eq!(scene.ask_pipelined("/look/1", &ids).await, ids);
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_stops_on_an_open_connection() {
+    let scene = Scene::open().await;
+    assert_eq!(
+        scene.ask("GET", "/look/1", "r1", "north-key").await.status,
+        200
+    );
+    scene.publish(9, "new-key");
+    let mut caller = scene.connect().await;
+    scene
+        .wait_until(IN_FORCE, async || {
+            caller.ask("GET", "/look/1", "r2", "north-key").await.status == 401
+        })
+        .await;
+    assert_eq!(
+        caller.ask("GET", "/look/1", "r3", "new-key").await.status,
+        200
+    );
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn a_leaving_server_gets_nothing_more() {
+    let scene = Scene::open().await;
+    scene.write_server(0, "draining");
+    tokio::time::sleep(IN_FORCE).await;
+    let before = scene.count(0);
+    for number in 0..20 {
+        let answer = scene
+            .ask("GET", "/look/1", &format!("r{number}"), "north-key")
+            .await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(scene.count(0), before);
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn a_lookup_whose_caller_left_is_broken_off() {
+    let scene = Scene::open().await;
+    scene.set_moods(BackMood::Slow);
+    scene.ask_and_leave("/look/1", "r1").await;
+    let half_second = Duration::from_millis(500);
+    scene
+        .wait_until(half_second, async || scene.broken_off() == 1)
+        .await;
+    scene.close().await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_ends_what_is_under_way_and_serves_those_who_come() {
+    let scene = Scene::open().await;
+    scene.set_moods(BackMood::Slow);
+    let running = scene.ask("POST", "/book/1", "r1", "north-key");
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        scene.terminate();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(scene.ready_status().await, 503);
+        scene.set_moods(BackMood::Sound);
+        scene.ask("GET", "/look/1", "r2", "north-key").await
+    };
+    let (running, late) = tokio::join!(running, stop);
+    assert_eq!((running.status, late.status), (200, 200));
+    assert!(late.closes, "the caller is told to go elsewhere");
+    scene.close().await;
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 //! # Parts
 //!
 //! * [`platform`]: table service, object store and host directory.
+//! * [`TableStandIn`]: a store of tables with a change feed, with its faults.
 //! * [`backend`]: a backend server with slots, cold start and gray failures.
 //! * [`proxy`]: a TCP forwarder with faults by source IP number.
 //! * [`fleet`]: [`fleet::TestFleet`] starts all of these and real entry hosts.
@@ -19,6 +20,7 @@
 mod allocation;
 mod error;
 mod http;
+mod table_store;
 mod usage;
 
 pub mod backend;
@@ -32,5 +34,9 @@
 pub mod workload;
 
 pub use crate::{
-    allocation::CountingAllocator, error::StandinError, http::CutPlace, usage::ProcessUsage,
+    allocation::CountingAllocator,
+    error::StandinError,
+    http::CutPlace,
+    table_store::{StoreMood, TableStandIn},
+    usage::ProcessUsage,
 };
