Read large changes from the store instead of from hosts

Ruled out: the store (watchers had the version at once); the check of the set.

Change: reports tell how large a change is; one that hosts could not pass on within half a second is read from the store, from a host if that fails.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -69,6 +69,8 @@
     pub(crate) copy: TableCopy,
     /// Combined digest of what the rows say, heartbeats aside.
     pub(crate) digest: u64,
+    /// Bytes of the rows that changed last.
+    pub(crate) changed_bytes: usize,
     /// Whether the table was read at least once.
     pub(crate) is_known: bool,
 }
--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -5,7 +5,7 @@
 
 use {
     mangostep_objects::Snapshot,
-    mangostep_policy::{CopyDelta, CopyRow, HostRow, ServerEntry},
+    mangostep_policy::{CopyDelta, CopyRow, CopySource, HostRow, ServerEntry},
     rand::RngExt,
     slog::{info, warn},
     xxhash_rust::xxh3::xxh3_64,
@@ -14,7 +14,7 @@
 use crate::{
     clock,
     context::HostPhase,
-    peers,
+    peers::{self, BehindTable},
     platform::{FleetTable, OperatorRow, Platform, StoreFaultKind},
     prelude::*,
 };
@@ -48,6 +48,10 @@
 /// host; hosts of a zone spread over it.
 const SPREAD_PAUSE: Duration = Duration::from_millis(40);
 
+/// Longest time to read a change from the store before another host is asked:
+/// many times what the store takes.
+const STORE_WAIT: Duration = Duration::from_millis(700);
+
 /// Time between two looks for held servers that are to be given up.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -124,30 +128,76 @@
             }
         };
         tokio::time::sleep(pause).await;
-        let mut behind: Vec<(FleetTable, SocketAddr)> =
+        let mut behind: Vec<(FleetTable, BehindTable)> =
             context.peers.behind.borrow_mut().drain().collect();
         for table in FleetTable::ALL {
             let is_known = context.tables.borrow().of(table).is_known;
             if !is_known && behind.iter().all(|(other, _)| *other != table) {
                 let own = context.settings.copies;
                 let seeds = context.settings.seeds.iter().filter(|seed| **seed != own);
-                behind.extend(seeds.map(|seed| (table, *seed)));
+                behind.extend(seeds.map(|seed| {
+                    let address = *seed;
+                    (table, BehindTable { address, bytes: 0 })
+                }));
             }
         }
-        for (table, address) in behind {
-            let after = context.tables.borrow().of(table).copy.version();
-            match peers::read_copy(table, after, address).await {
-                Ok(Some(delta)) => apply(&context, &*platform, table, delta, "host"),
-                Ok(None) => {}
-                Err(err) => {
-                    info!(context.log, "copy not read"; "table" => table.as_str(),
-                        "error" => err.to_string());
-                }
+        for (table, lacking) in behind {
+            if !read_from_store(&context, &*platform, table, lacking).await {
+                read_from_host(&context, &*platform, table, lacking.address).await;
             }
         }
     }
 }
 
+/// Reads a change from the store where it is too large for the links of
+/// hosts; tells whether that was done.
+async fn read_from_store<P: Platform>(
+    context: &HostContext,
+    platform: &P,
+    table: FleetTable,
+    lacking: BehindTable,
+) -> bool {
+    let readers = context.hosts.borrow().zone_peers().len();
+    if CopySource::of(lacking.bytes, readers) == CopySource::Host {
+        return false;
+    }
+    let after = context.tables.borrow().of(table).copy.version();
+    let read = platform.watch_table(table, after, Duration::ZERO);
+    match tokio::time::timeout(STORE_WAIT, read).await {
+        Ok(Ok(delta)) => {
+            apply(context, platform, table, delta, "store");
+            true
+        }
+        Ok(Err(fault)) => {
+            info!(context.log, "change not read"; "table" => table.as_str(),
+                "error" => fault.to_string());
+            false
+        }
+        Err(_) => {
+            info!(context.log, "change not read"; "table" => table.as_str(),
+                "error" => "timed out");
+            false
+        }
+    }
+}
+
+async fn read_from_host<P: Platform>(
+    context: &HostContext,
+    platform: &P,
+    table: FleetTable,
+    address: SocketAddr,
+) {
+    let after = context.tables.borrow().of(table).copy.version();
+    match peers::read_copy(table, after, address).await {
+        Ok(Some(delta)) => apply(context, platform, table, delta, "host"),
+        Ok(None) => {}
+        Err(err) => {
+            info!(context.log, "copy not read"; "table" => table.as_str(),
+                "error" => err.to_string());
+        }
+    }
+}
+
 /// Gives up servers whose entries lapsed and did not come back.
 pub(crate) async fn expire_servers(context: Rc<HostContext>) {
     loop {
@@ -177,6 +227,10 @@
         let total = state.copy.rows().count();
         let changed = state.copy.apply(delta);
         state.is_known = true;
+        let sizes = changed
+            .iter()
+            .map(|row| row.value.as_ref().map_or(0, Vec::len));
+        state.changed_bytes = sizes.sum();
         (version, is_first, changed, total)
     };
     if !changed.is_empty() {
--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -49,6 +49,8 @@
     pub(crate) table: FleetTable,
     pub(crate) version: u64,
     pub(crate) digest: u64,
+    /// Bytes of the rows that changed last.
+    pub(crate) changed_bytes: usize,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -31,6 +31,15 @@
 };
 use crate::prelude::*;
 
+/// A change that another host has and this one lacks.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BehindTable {
+    /// Address at which the other host gives copies.
+    pub(crate) address: SocketAddr,
+    /// Bytes of the change.
+    pub(crate) bytes: usize,
+}
+
 /// The socket for datagrams, and the asks that wait for answers.
 pub(crate) struct PeerPort {
     socket: UdpSocket,
@@ -40,7 +49,7 @@
     /// over.
     silent_homes: RefCell<HashMap<String, MonotonicTime>>,
     /// Tables to be read from another host.
-    pub(crate) behind: RefCell<HashMap<crate::platform::FleetTable, SocketAddr>>,
+    pub(crate) behind: RefCell<HashMap<crate::platform::FleetTable, BehindTable>>,
     pub(crate) behind_wake: tokio::sync::Notify,
 }
 
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     clock,
+    peers::BehindTable,
     peers::messages::{
         HostReport, PeerMessage, SignalCode, SignalReport, TokenQuestion, decode, encode,
     },
@@ -73,7 +74,10 @@
         let own = tables.of(mark.table);
         let is_behind = mark.digest != own.digest && mark.version > own.copy.version();
         if let Some(copies) = copies.filter(|_| is_behind || !own.is_known) {
-            behind.entry(mark.table).or_insert(copies);
+            behind.entry(mark.table).or_insert(BehindTable {
+                address: copies,
+                bytes: mark.changed_bytes,
+            });
             context.peers.behind_wake.notify_one();
         }
     }
--- a/crates/mangostep-entry/src/peers/reporting.rs
+++ b/crates/mangostep-entry/src/peers/reporting.rs
@@ -70,6 +70,7 @@
             table,
             version: tables.of(table).copy.version(),
             digest: tables.of(table).digest,
+            changed_bytes: tables.of(table).changed_bytes,
         })
         .collect()
 }
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of a host that sends requests straight to backend servers.
 
 mod active_window;
+mod copy_source;
 mod evidence;
 mod host_table;
 mod lapse_rule;
@@ -15,6 +16,7 @@
 
 pub use self::{
     active_window::ActiveWindow,
+    copy_source::CopySource,
     evidence::{EvidenceSettings, ServerEvidence},
     host_table::{HostRow, HostTable, HostTableSettings, PeerReport, PeerSighting},
     lapse_rule::{LapseRule, LapseSettings},
--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -50,7 +50,7 @@
 pub use crate::{
     detection::{BaselineSettings, ConsecutiveErrorDetector, DetectionSettings, GrayDetector},
     dispatch::{
-        ActiveWindow, AllowanceSettings, ChoiceAsk, ChoiceRefusal, CopyDelta, CopyRow,
+        ActiveWindow, AllowanceSettings, ChoiceAsk, ChoiceRefusal, CopyDelta, CopyRow, CopySource,
         EvidenceSettings, HostRow, HostTable, HostTableSettings, LapseRule, LapseSettings,
         LedgerAsk, LedgerSettings, PeerKey, PeerReport, PeerSighting, PoolSettings, ReadState,
         ReadTimer, RetryAllowance, ServerChoice, ServerEntry, ServerEvidence, ServerKey,
--- a/crates/mangostep-policy/tests/dispatch/main.rs
+++ b/crates/mangostep-policy/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 //! each under the load that it answers.
 
 mod cold_servers;
+mod copy_source;
 mod failing_spells;
 mod host_table;
 mod hot_workspace;
