Give each scene of the entry tests a loopback number of its own

Scenes asked the system for free ports and bound them later, so that two scenes could get the same one. Reckoned from the code; the race was not shown. Ruled out: nothing else was looked at.

--- a/crates/mangostep/tests/entry/scene.rs
+++ b/crates/mangostep/tests/entry/scene.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::{SocketAddr, TcpListener as StdListener},
+    net::SocketAddr,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -25,6 +25,9 @@
 /// Longest time for anything that a test waits for.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// First port of a host, below those that the system deals out.
+const FIRST_PORT: u16 = 7_001;
+
 /// How the backend servers treat requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BackMood {
@@ -218,8 +221,7 @@
         let (store, store_address) = TableStandIn::open().await.expect("a port is free");
         let backs = Backs::default();
         let addresses = vec![backs.open(0).await, backs.open(1).await];
-        let names = ["front", "ready", "lookup", "copies", "peer"];
-        let ports: HashMap<&str, SocketAddr> = names.map(|name| (name, free_address())).into();
+        let ports = host_addresses();
         let mut settings = serde_json::json!({
             "host": "h1", "zone": "a", "region": "home", "zones": { "a": "home" },
             "store": store_address.to_string(), "bounds": { "stop_grace_s": 2.0 },
@@ -386,8 +388,19 @@
     }
 }
 
-/// An address whose port was free a moment ago.
-fn free_address() -> SocketAddr {
-    let listener = StdListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("it is bound")
+/// Addresses of a scene's host, on a loopback number of its own: ports that
+/// the system deals out could be taken by another scene before the host binds
+/// them.
+fn host_addresses() -> HashMap<&'static str, SocketAddr> {
+    static SCENES: AtomicUsize = AtomicUsize::new(1);
+    let scene = SCENES.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id().to_be_bytes();
+    let ip = [127, 64 | (process[2] & 63), process[3], scene as u8];
+    let names = ["front", "ready", "lookup", "copies", "peer"];
+    let ports = FIRST_PORT..;
+    names
+        .into_iter()
+        .zip(ports)
+        .map(|(name, port)| (name, (ip, port).into()))
+        .collect()
 }
