Keep both ends of a look-up that went to two servers

Cause: read in the change. When a look-up was sent to a second server, the end of the first of the two to fail was dropped: reset by one and turned away by the other, it was answered 503, "not run", though it may have run. The second send counted neither as tried nor toward the route's attempts.

Ruled out: requests that run once; they never go to two servers.

Change: the two sends return both ends, and one that may have run outweighs a refusal.

--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -242,33 +242,58 @@
         entry: &ServerEntry,
         story: &mut RequestStory,
     ) -> SendEnd {
-        let may_hedge = self.may_hedge(story);
-        let this = &*self;
-        let first = this.send(key, entry);
-        tokio::pin!(first);
-        if !may_hedge {
-            return first.await;
+        if !self.may_hedge(story) {
+            return self.send(key, entry).await;
         }
-        if let Ok(end) = timeout(this.stall_time(), &mut first).await {
+        let (end, hedge) = self.send_hedged(key, entry, story).await;
+        let Some((second_key, second_end)) = hedge else {
             return end;
+        };
+        self.tried.push(second_key);
+        match (end, second_end) {
+            (SendEnd::Answer(answer), _) | (_, SendEnd::Answer(answer)) => SendEnd::Answer(answer),
+            (SendEnd::MayHaveRun(_, first), SendEnd::MayHaveRun(what, second)) => {
+                self.runs += 1;
+                SendEnd::MayHaveRun(what, second.or(first))
+            }
+            // What one of the two may have run was not refused.
+            (end @ SendEnd::MayHaveRun(..), SendEnd::NotRun(_)) => end,
+            (SendEnd::NotRun(_), end) => end,
         }
-        let Ok((second_key, second_entry)) = this.choose() else {
-            return first.await;
+    }
+
+    /// Sends the request to a second server once the first should have ended,
+    /// and returns how both ended; the second is left out where none was asked,
+    /// and an answer ends both.
+    async fn send_hedged(
+        &self,
+        key: ServerKey,
+        entry: &ServerEntry,
+        story: &mut RequestStory,
+    ) -> (SendEnd, Option<(ServerKey, SendEnd)>) {
+        let first = self.send(key, entry);
+        tokio::pin!(first);
+        if let Ok(end) = timeout(self.stall_time(), &mut first).await {
+            return (end, None);
+        }
+        let Ok((second_key, second_entry)) = self.choose() else {
+            return (first.await, None);
         };
-        if !this.take_repeat() {
-            return first.await;
+        if !self.take_repeat() {
+            return (first.await, None);
         }
         story.note_send(&second_entry.id);
-        let second = this.send(second_key, &second_entry);
+        let second = self.send(second_key, &second_entry);
         tokio::pin!(second);
         let (end, other) = tokio::select! {
             end = &mut first => (end, Either::Right(second)),
             end = &mut second => (end, Either::Left(first)),
         };
-        match end {
-            SendEnd::Answer(_) => end,
+        let other_end = match end {
+            SendEnd::Answer(_) => SendEnd::NotRun("broken off"),
             SendEnd::MayHaveRun(..) | SendEnd::NotRun(_) => other.await,
-        }
+        };
+        (end, Some((second_key, other_end)))
     }
 
     /// Whether the request may be sent to a second server while the first
--- a/crates/mangostep/tests/entry.rs
+++ b/crates/mangostep/tests/entry.rs
@@ -91,6 +91,18 @@
     scene.close().await;
 }
 
+/// A look-up stalls and is sent to a second server; the first resets it, and
+/// the second turns it away after that.
+#[tokio::test]
+async fn a_lookup_that_one_of_two_servers_may_have_run_is_not_told_not_run() {
+    let scene = Scene::open().await;
+    scene.set_moods(BackMood::ResetsLate);
+    let lookup = scene.ask("GET", "/look/1", "r1", "north-key").await;
+    assert!(scene.runs("r1").len() >= 2);
+    assert!([502, 504].contains(&lookup.status), "{}", lookup.status);
+    scene.close().await;
+}
+
 #[tokio::test]
 async fn a_late_second_answer_goes_to_nobody() {
     let scene = Scene::open().await;
--- a/crates/mangostep/tests/entry/scene.rs
+++ b/crates/mangostep/tests/entry/scene.rs
@@ -46,6 +46,9 @@
     CutsAnswers,
     /// Answers after 600 ms.
     Slow,
+    /// Resets one connection after a stall, then turns requests away late.
+    ResetsLate,
+    ShedsLate,
 }
 
 #[derive(Default)]
@@ -83,9 +86,11 @@
     fn take_mood(&self) -> BackMood {
         let mut state = self.state();
         let mood = state.mood;
-        if matches!(mood, BackMood::ResetsOnce | BackMood::ShedsOnce) {
-            state.mood = BackMood::Sound;
-        }
+        state.mood = match mood {
+            BackMood::ResetsOnce | BackMood::ShedsOnce => BackMood::Sound,
+            BackMood::ResetsLate => BackMood::ShedsLate,
+            other => other,
+        };
         mood
     }
 
@@ -122,6 +127,14 @@
             BackMood::Sound => sound,
             BackMood::ResetsOnce => return false,
             BackMood::Sheds | BackMood::ShedsOnce => answer("503 Busy", "x-not-executed: 1\r\n"),
+            BackMood::ResetsLate => {
+                sleep(Duration::from_millis(1_020)).await;
+                return false;
+            }
+            BackMood::ShedsLate => {
+                sleep(Duration::from_millis(50)).await;
+                answer("503 Busy", "x-not-executed: 1\r\n")
+            }
             BackMood::RefusesAfterRun => answer("503 Busy", "x-response-signature: s\r\n"),
             BackMood::AnswersTwice => format!("{sound}{sound}"),
             BackMood::Unsigned => answer("200 OK", ""),
