Spare cold servers while the other hosts are unknown

After the loss of a zone its hosts and servers came back together; a host counted itself as the only one for its first quarter of a second, and took the hosts it had not yet heard of for silent, so that each sent the cold servers what one may send.

Ruled out: entries that came late (cold_ms stood in the first entry).

Change: a pool that has not counted the hosts assumes more than a fleet has, the count follows the table of hosts, and a host claims to see the others only after 1.2 s.

--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -207,8 +207,6 @@
         for server in gone {
             info!(context.log, "server gone"; "server" => server, "reason" => "lapsed");
         }
-        let hosts = context.hosts.borrow().rows().count();
-        context.pool.borrow_mut().set_hosts(hosts);
     }
 }
 
@@ -389,4 +387,5 @@
             }
         }
     }
+    context.pool.borrow_mut().set_hosts(hosts.rows().count());
 }
--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -158,7 +158,7 @@
             priority: self.planned.priority,
             time_left: self.time_left(),
             own_rate_per_s: allowance.request_rate(&service.name, now),
-            sees_others: hosts.is_named(now),
+            sees_others: hosts.sees_others(now),
             may_repeat: self.runs == 0 && room > TEST_ROOM,
         };
         if is_idempotent(self.planned) {
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -135,7 +135,7 @@
         tables: TableStates::default().into(),
         lapse: LapseRule::open(LapseSettings::default()).into(),
         pool: ServerPool::open(PoolSettings::default()).into(),
-        hosts: HostTable::open(row, HostTableSettings::default()).into(),
+        hosts: HostTable::open(row, HostTableSettings::default(), clock::now()).into(),
         allowance: RetryAllowance::open(allowance).into(),
         ledger: TokenLedger::open(LedgerSettings::default()).into(),
         splits: Default::default(),
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -61,6 +61,9 @@
     /// Silence after which a host that follows the store is replaced; sooner
     /// than it counts as gone, for changes must be in force within seconds.
     pub watcher_silence: Duration,
+    /// Time after its start in which a host has not heard of all others: two
+    /// reports of theirs, and a little for their delay.
+    pub listening: Duration,
     /// Most hosts of the own availability zone that get each report.
     pub zone_peers: usize,
     /// Fewest hosts that callers of a zone are led to, as long as so many
@@ -78,6 +81,7 @@
             silence: Duration::from_millis(1_700),
             watchers: 3,
             watcher_silence: Duration::from_millis(1_200),
+            listening: Duration::from_millis(1_200),
             zone_peers: 24,
             named_min: 4,
             named_max: 64,
@@ -95,6 +99,7 @@
 pub struct HostTable {
     settings: HostTableSettings,
     own: HostRow,
+    opened: MonotonicTime,
     own_report: PeerReport,
     rows: BTreeMap<String, HostRow>,
     seen: HashMap<String, PeerSighting>,
@@ -104,11 +109,12 @@
 
 impl HostTable {
     /// Opens a table with the own host alone.
-    pub fn open(own: HostRow, settings: HostTableSettings) -> Self {
+    pub fn open(own: HostRow, settings: HostTableSettings, now: MonotonicTime) -> Self {
         HostTable {
             settings,
             rows: BTreeMap::from([(own.name.clone(), own.clone())]),
             own,
+            opened: now,
             own_report: PeerReport::default(),
             seen: HashMap::new(),
             zone_named: HashMap::new(),
@@ -278,6 +284,12 @@
         named.iter().any(|row| row.name == self.own.name)
     }
 
+    /// Whether this host learns what the others send: callers are led to it,
+    /// and it has listened for long enough to know the others.
+    pub fn sees_others(&self, now: MonotonicTime) -> bool {
+        now.since(self.opened) >= self.settings.listening && self.is_named(now)
+    }
+
     /// This host's part of what all hosts may do together, from 0 to 1. Hosts
     /// that callers are led to share most of it, the others the rest.
     pub fn own_share(&self, now: MonotonicTime) -> f64 {
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -149,6 +149,10 @@
     failed: ActiveWindow,
 }
 
+/// Hosts that may send requests, while they have not been counted: more than
+/// a fleet has, since a cold server must not get too much from all of them.
+const HOSTS_UNKNOWN: usize = 1_000;
+
 /// Share of a new measurement in the mean length of requests.
 const LENGTH_SHARE: f64 = 0.05;
 
@@ -170,7 +174,7 @@
     pub fn open(settings: PoolSettings) -> Self {
         ServerPool {
             settings,
-            hosts: 1,
+            hosts: HOSTS_UNKNOWN,
             ..Default::default()
         }
     }
--- a/crates/mangostep-policy/tests/dispatch/cold_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/cold_servers.rs
@@ -103,3 +103,41 @@
     // Ten servers for ten seconds, at two thirds of what they bear.
     assert!(total > 150, "{total} requests in ten seconds");
 }
+
+/// A zone lost power: its hosts start again at the same moment as its servers,
+/// and know neither each other nor how many they are.
+#[test]
+fn hosts_that_start_with_cold_servers_spare_them() {
+    let mut random = SmallRng::seed_from_u64(6);
+    let mut started = [0_u32; 10];
+    for host in 0..16_u64 {
+        let mut pool = ServerPool::open(PoolSettings::default());
+        for index in 0..10 {
+            let cold_left = Duration::from_secs(if index < 5 { 0 } else { 3 });
+            let zone = if index < 5 { "b" } else { "a" }.to_owned();
+            let entry = ServerEntry {
+                cold_left,
+                zone,
+                ..server(index)
+            };
+            pool.put(&entry, Duration::ZERO, at_ms(0));
+        }
+        // Four requests in its first second.
+        for request in 0..4 {
+            let now = at_ms(request * 250 + host);
+            let choice = pool.choose(ask(0.2, false), Some(COLD_RATE), &mut random, now);
+            let ServerChoice::Send(key) = choice else {
+                continue;
+            };
+            let id = &pool.entry(key).expect("it was chosen").id;
+            started[id[1..].parse::<usize>().expect("ids end with a number")] += 1;
+            pool.start(key, now);
+            pool.finish(key);
+        }
+    }
+    let worst = started[5..].iter().max().copied().unwrap_or_default();
+    assert!(
+        f64::from(worst) <= COLD_RATE * 1.5 + 5.0,
+        "{worst} in a second: {started:?}"
+    );
+}
--- a/crates/mangostep-policy/tests/dispatch/host_table.rs
+++ b/crates/mangostep-policy/tests/dispatch/host_table.rs
@@ -27,7 +27,7 @@
 
 /// The table of host `own` of zone a with 16 hosts, all of them heard.
 fn table(own: u8, now: MonotonicTime) -> HostTable {
-    let mut table = HostTable::open(row("a", own), HostTableSettings::default());
+    let mut table = HostTable::open(row("a", own), HostTableSettings::default(), now);
     table.set_own_report(report());
     for index in 0..16 {
         table.put(row("a", index));
@@ -124,3 +124,18 @@
     let first = home(0);
     assert!((1..16).all(|own| home(own) == first));
 }
+
+#[test]
+fn a_host_that_started_does_not_claim_to_see_the_others() {
+    let mut table = table(0, at_ms(0));
+    let named = names(&table.named_here(at_ms(0)));
+    let own: u8 = (0..16)
+        .find(|own| named.contains(&format!("a{own}")))
+        .expect("four are named");
+    table = self::table(own, at_ms(0));
+    assert!(table.is_named(at_ms(0)) && !table.sees_others(at_ms(1_000)));
+    for index in (0..16).filter(|index| *index != own) {
+        table.note_report(&format!("a{index}"), report(), at_ms(1_300));
+    }
+    assert!(table.sees_others(at_ms(1_300)));
+}
