Use one type for signals and one for losses, and log every failed attempt

Cause: read in the change. Signals stood twice, once for datagrams; reasons of lost requests were compared as texts; a request that runs once and timed out had no line "attempt failed", which docs/OPERATIONS.md promises.

--- a/crates/mangostep-entry/src/back/attempt.rs
+++ b/crates/mangostep-entry/src/back/attempt.rs
@@ -38,7 +38,32 @@
     /// No connection could be made, so the request has not run.
     Unsent(io::Error),
     /// The request was sent and has no answer; it may have run.
-    Lost(&'static str),
+    Lost(LossReason),
+}
+
+/// Why a request that was sent has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LossReason {
+    /// The connection was reset.
+    Reset,
+    /// The connection was closed before a whole answer.
+    Closed,
+    /// Bytes came that are no answer to the request.
+    Spoiled,
+    /// No answer came by the deadline.
+    TimedOut,
+}
+
+impl LossReason {
+    /// The name of the reason in logs and counters.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            LossReason::Reset => "reset",
+            LossReason::Closed => "closed",
+            LossReason::Spoiled => "spoiled answer",
+            LossReason::TimedOut => "no answer by the deadline",
+        }
+    }
 }
 
 /// Sends a request to a backend server and waits for its answer.
@@ -58,7 +83,7 @@
     let end = match timeout_at(order.deadline, exchange(&mut connection, &order)).await {
         Ok(Ok(answer)) => AttemptEnd::Answered(Box::new(answer)),
         Ok(Err(what)) => AttemptEnd::Lost(what),
-        Err(_) => AttemptEnd::Lost("no answer by the deadline"),
+        Err(_) => AttemptEnd::Lost(LossReason::TimedOut),
     };
     match &end {
         AttemptEnd::Answered(answer) if answer.keeps_connection => {
@@ -66,7 +91,7 @@
             connection.idle_limit = idle_limit(answer);
             context.backs.put(order.key, connection);
         }
-        AttemptEnd::Lost("reset" | "closed") => {
+        AttemptEnd::Lost(LossReason::Reset | LossReason::Closed) => {
             if let Some(idle) = idle {
                 context.backs.note_lost(idle);
             }
@@ -90,7 +115,7 @@
 async fn exchange(
     connection: &mut BackConnection,
     order: &AttemptOrder<'_>,
-) -> Result<ServerAnswer, &'static str> {
+) -> Result<ServerAnswer, LossReason> {
     let limits = MessageLimits {
         head_bytes: ANSWER_HEAD_MAX,
         body_bytes: ANSWER_BYTES_MAX,
@@ -99,7 +124,7 @@
     let BackConnection { stream, buffer, .. } = connection;
     let (mut reader, mut writer) = stream.split();
     let mut unsent: &[u8] = &order.bytes;
-    let mut fault = "cut";
+    let mut is_spoiled = false;
     loop {
         loop {
             match decoder.decode(buffer) {
@@ -115,7 +140,7 @@
                 Ok(None) => break,
                 // The answer may stand behind bytes that are none.
                 Err(_) => {
-                    fault = "spoiled answer";
+                    is_spoiled = true;
                     if !decoder.resume(buffer) {
                         break;
                     }
@@ -137,14 +162,23 @@
             Ok(0) => {
                 let answer = decoder.finish().ok();
                 let own = answer.filter(|answer| is_own(answer, order.echoed));
-                return own.ok_or(if fault == "cut" { "closed" } else { fault });
+                return own.ok_or(lost(LossReason::Closed, is_spoiled));
             }
             Ok(_) => {}
-            Err(_) => return Err(if fault == "cut" { "reset" } else { fault }),
+            Err(_) => return Err(lost(LossReason::Reset, is_spoiled)),
         }
     }
 }
 
+/// The reason to tell when a connection ends: spoiled bytes before its end say
+/// more than the end.
+fn lost(end: LossReason, is_spoiled: bool) -> LossReason {
+    match is_spoiled {
+        true => LossReason::Spoiled,
+        false => end,
+    }
+}
+
 /// Whether an answer belongs to the request, by the id that it echoes. A
 /// success must echo it; a refusal of the server's listener may lack it.
 fn is_own(answer: &ServerAnswer, echoed: Option<(&str, &str)>) -> bool {
--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    back::{AttemptEnd, AttemptOrder, attempt},
+    back::{AttemptEnd, AttemptOrder, LossReason, attempt},
     clock,
     forward::{
         outgoing::{OutgoingHeaders, end_to_end, outgoing_request},
@@ -111,13 +111,11 @@
                     story.detail = what;
                     self.runs += 1;
                     last = answer.or(last);
-                    if !is_idempotent(self.planned) && what == "no answer by the deadline" {
-                        return Err(Refusal::TimedOut);
-                    }
                 }
             }
             self.log_failure(&entry, story);
-            if is_over && self.runs > 0 && last.is_none() {
+            let timed_out = is_over || story.detail == LossReason::TimedOut.as_str();
+            if timed_out && self.runs > 0 && last.is_none() {
                 return Err(Refusal::TimedOut);
             }
             let attempts = self.planned.route.attempts.unwrap_or(ATTEMPTS);
@@ -336,7 +334,8 @@
                 return (ServerSignal::Unreachable, SendEnd::NotRun("unreachable"));
             }
             AttemptEnd::Lost(what) => {
-                return (ServerSignal::Failure, SendEnd::MayHaveRun(what, None));
+                let end = SendEnd::MayHaveRun(what.as_str(), None);
+                return (ServerSignal::Failure, end);
             }
             AttemptEnd::Answered(answer) => answer,
         };
@@ -362,7 +361,7 @@
         if !is_signed || is_coded {
             return (
                 ServerSignal::Failure,
-                SendEnd::MayHaveRun("spoiled answer", None),
+                SendEnd::MayHaveRun(LossReason::Spoiled.as_str(), None),
             );
         }
         if promises_not_run(status) {
--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -59,9 +59,8 @@
     pub(crate) server: Cow<'a, str>,
     pub(crate) started_ms: u64,
     pub(crate) running: u32,
-    /// Whether a request was sent just now.
-    pub(crate) is_start: bool,
-    pub(crate) signal: Option<SignalCode>,
+    /// What the request showed; none at its start.
+    pub(crate) signal: Option<ServerSignal>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -74,43 +73,6 @@
     pub(crate) burst: f64,
 }
 
-/// A [`ServerSignal`] in a datagram.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum SignalCode {
-    Success,
-    Failure,
-    Error,
-    Stall,
-    Shed,
-    Unreachable,
-}
-
-impl SignalCode {
-    /// The code of a signal; none for one that says nothing.
-    pub(crate) fn of(signal: ServerSignal) -> Option<Self> {
-        Some(match signal {
-            ServerSignal::Success => SignalCode::Success,
-            ServerSignal::Failure => SignalCode::Failure,
-            ServerSignal::Error => SignalCode::Error,
-            ServerSignal::Stall => SignalCode::Stall,
-            ServerSignal::Shed => SignalCode::Shed,
-            ServerSignal::Unreachable => SignalCode::Unreachable,
-            ServerSignal::Nothing => return None,
-        })
-    }
-
-    pub(crate) fn signal(self) -> ServerSignal {
-        match self {
-            SignalCode::Success => ServerSignal::Success,
-            SignalCode::Failure => ServerSignal::Failure,
-            SignalCode::Error => ServerSignal::Error,
-            SignalCode::Stall => ServerSignal::Stall,
-            SignalCode::Shed => ServerSignal::Shed,
-            SignalCode::Unreachable => ServerSignal::Unreachable,
-        }
-    }
-}
-
 /// Writes a datagram: its version, then the message.
 pub(crate) fn encode(message: &PeerMessage<'_>) -> Vec<u8> {
     let bytes = vec![MESSAGE_VERSION];
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -1,16 +1,14 @@
 use std::net::SocketAddr;
 
 use {
-    mangostep_policy::{LedgerAsk, PeerKey, TokenVerdict},
+    mangostep_policy::{LedgerAsk, PeerKey, ServerSignal, TokenVerdict},
     slog::{info, warn},
 };
 
 use crate::{
     clock,
     peers::BehindTable,
-    peers::messages::{
-        HostReport, PeerMessage, SignalCode, SignalReport, TokenQuestion, decode, encode,
-    },
+    peers::messages::{HostReport, PeerMessage, SignalReport, TokenQuestion, decode, encode},
     prelude::*,
 };
 
@@ -96,15 +94,11 @@
         return;
     }
     pool.note_peer_running(key, peer_key(from), report.running, now);
-    if report.is_start {
-        pool.note_start(key, now);
-    }
-    // What one host cannot reach may be sound for the others.
-    let told = report
-        .signal
-        .filter(|code| *code != SignalCode::Unreachable);
-    if let Some(code) = told {
-        pool.note(key, code.signal(), now);
+    match report.signal {
+        None => pool.note_start(key, now),
+        // What one host cannot reach may be sound for the others.
+        Some(ServerSignal::Unreachable) => {}
+        Some(signal) => pool.note(key, signal, now),
     }
 }
 
--- a/crates/mangostep-entry/src/peers/signals.rs
+++ b/crates/mangostep-entry/src/peers/signals.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock,
-    peers::messages::{PeerMessage, SignalCode, SignalReport, encode},
+    peers::messages::{PeerMessage, SignalReport, encode},
     prelude::*,
 };
 
@@ -24,16 +24,14 @@
     let Some(entry) = pool.entry(key) else {
         return;
     };
-    let code = signal.and_then(SignalCode::of);
     let report = SignalReport {
         server: Cow::Borrowed(&entry.id),
         started_ms: entry.started_ms,
         running: pool.own_running(key),
-        is_start: signal.is_none(),
-        signal: code,
+        signal,
     };
     let bytes = encode(&PeerMessage::Signal(report));
-    let is_failure = code.is_some_and(|code| code != SignalCode::Success);
+    let is_failure = signal.is_some_and(ServerSignal::is_failure);
     let hosts = context.hosts.borrow();
     let observers = match is_failure || is_wide {
         true => hosts.observers(clock::now()),
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -6,6 +6,7 @@
 use {
     mangostep_objects::RequestKind,
     rand::{Rng, RngExt},
+    serde::{Deserialize, Serialize},
     slotmap::{SlotMap, new_key_type},
 };
 
@@ -78,7 +79,7 @@
 }
 
 /// What an attempt, here or on another host, showed of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerSignal {
     /// A whole answer.
     Success,
@@ -96,6 +97,13 @@
     Nothing,
 }
 
+impl ServerSignal {
+    /// Whether the signal speaks against the server.
+    pub fn is_failure(self) -> bool {
+        !matches!(self, ServerSignal::Success | ServerSignal::Nothing)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct ServerRecord {
     entry: ServerEntry,
