Let no success of an older request clear a failing server

An error answer weighed as much as a reset, though sound servers give one in a hundred.

Change: signals carry the age of their request; evidence ignores a success that was sent before the last failure; each kind of outcome has its own chances; servers that most likely fail are explored too, at longer pauses, since a service without lookups has no others to show that they are sound.

--- a/crates/mangostep-entry/src/forward/running.rs
+++ b/crates/mangostep-entry/src/forward/running.rs
@@ -9,6 +9,7 @@
 pub(crate) struct RunningRequest {
     context: Rc<HostContext>,
     key: ServerKey,
+    sent: MonotonicTime,
     /// Whether hosts of all zones learn of it.
     is_wide: bool,
     /// Whether it took too long, which was told then.
@@ -23,10 +24,11 @@
         pool.start(key, now);
         let is_wide = pool.concerns_all(key, &context.settings.zone, now);
         drop(pool);
-        peers::tell_signal(context, key, None, is_wide);
+        peers::tell_signal(context, key, None, now, is_wide);
         RunningRequest {
             context: Rc::clone(context),
             key,
+            sent: now,
             is_wide,
             has_stalled: Cell::new(false),
             is_told: false,
@@ -38,9 +40,10 @@
         let now = clock::now();
         self.has_stalled.set(true);
         let mut pool = self.context.pool.borrow_mut();
-        pool.note_own(self.key, ServerSignal::Stall, now);
+        pool.note_own(self.key, ServerSignal::Stall, self.sent, now);
         drop(pool);
-        peers::tell_signal(&self.context, self.key, Some(ServerSignal::Stall), true);
+        let signal = Some(ServerSignal::Stall);
+        peers::tell_signal(&self.context, self.key, signal, self.sent, true);
     }
 
     /// Ends the request with what it showed of the server.
@@ -57,9 +60,15 @@
         };
         let mut pool = self.context.pool.borrow_mut();
         pool.finish(self.key);
-        pool.note_own(self.key, signal, clock::now());
+        pool.note_own(self.key, signal, self.sent, clock::now());
         drop(pool);
-        peers::tell_signal(&self.context, self.key, Some(signal), self.is_wide);
+        peers::tell_signal(
+            &self.context,
+            self.key,
+            Some(signal),
+            self.sent,
+            self.is_wide,
+        );
     }
 }
 
--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -8,7 +8,7 @@
 use crate::platform::FleetTable;
 
 /// The version of the datagrams; others are passed over.
-pub(crate) const MESSAGE_VERSION: u8 = 1;
+pub(crate) const MESSAGE_VERSION: u8 = 2;
 
 /// A datagram from host to host.
 #[derive(Debug, Serialize, Deserialize)]
@@ -61,6 +61,8 @@
     pub(crate) running: u32,
     /// What the request showed; none at its start.
     pub(crate) signal: Option<ServerSignal>,
+    /// Milliseconds since the request was sent.
+    pub(crate) age_ms: u32,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -98,7 +98,10 @@
         None => pool.note_start(key, now),
         // What one host cannot reach may be sound for the others.
         Some(ServerSignal::Unreachable) => {}
-        Some(signal) => pool.note(key, signal, now),
+        Some(signal) => {
+            let age = Duration::from_millis(report.age_ms.into());
+            pool.note(key, signal, now - age, now);
+        }
     }
 }
 
--- a/crates/mangostep-entry/src/peers/signals.rs
+++ b/crates/mangostep-entry/src/peers/signals.rs
@@ -8,8 +8,8 @@
     prelude::*,
 };
 
-/// Tells other hosts what this one has running at a server, and what it saw
-/// there.
+/// Tells other hosts what this one has running at a server, and what a request
+/// that was sent there at `sent` showed.
 ///
 /// Starts and successes go to hosts of the own zone that send requests, who
 /// mostly use the same servers. Failures, and what is told widely, go to all
@@ -18,8 +18,10 @@
     context: &HostContext,
     key: ServerKey,
     signal: Option<ServerSignal>,
+    sent: MonotonicTime,
     is_wide: bool,
 ) {
+    let now = clock::now();
     let pool = context.pool.borrow();
     let Some(entry) = pool.entry(key) else {
         return;
@@ -29,13 +31,14 @@
         started_ms: entry.started_ms,
         running: pool.own_running(key),
         signal,
+        age_ms: u32::try_from(now.since(sent).as_millis()).unwrap_or(u32::MAX),
     };
     let bytes = encode(&PeerMessage::Signal(report));
     let is_failure = signal.is_some_and(ServerSignal::is_failure);
     let hosts = context.hosts.borrow();
     let observers = match is_failure || is_wide {
-        true => hosts.observers(clock::now()),
-        false => hosts.near_observers(clock::now()),
+        true => hosts.observers(now),
+        false => hosts.near_observers(now),
     };
     for to in observers {
         context.peers.send(&bytes, to);
--- a/crates/mangostep-policy/src/dispatch/evidence.rs
+++ b/crates/mangostep-policy/src/dispatch/evidence.rs
@@ -1,6 +1,16 @@
 use std::time::Duration;
 
-use crate::MonotonicTime;
+use crate::{MonotonicTime, dispatch::ServerSignal};
+
+/// How often a server gives one kind of outcome, while it fails and while it
+/// is sound.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OutcomeChances {
+    /// In a failing spell.
+    pub failing: f64,
+    /// While sound.
+    pub sound: f64,
+}
 
 /// How a [`ServerEvidence`] weighs outcomes.
 #[derive(Clone, Debug, PartialEq)]
@@ -12,21 +22,41 @@
     pub spell_span: Duration,
     /// Chance that a failing server fails a request.
     pub failing_chance: f64,
-    /// Chance that a sound server fails a request: errors of its own, or an
-    /// answer that is lost.
+    /// Chance that a sound server fails a request.
     pub sound_chance: f64,
-    /// Chance that a sound server takes too long.
-    pub stall_chance: f64,
+    /// An answer in time.
+    pub success: OutcomeChances,
+    /// A reset, a cut or a spoiled answer.
+    pub loss: OutcomeChances,
+    /// An error answer, which sound servers give to one request in a hundred.
+    pub error: OutcomeChances,
+    /// No answer long after the usual time, or no connection.
+    pub stall: OutcomeChances,
 }
 
 impl Default for EvidenceSettings {
     fn default() -> Self {
         EvidenceSettings {
-            failing_share: 0.1,
-            spell_span: Duration::from_secs(8),
-            failing_chance: 0.75,
+            failing_share: 0.2,
+            spell_span: Duration::from_secs(10),
+            failing_chance: 0.7,
             sound_chance: 0.015,
-            stall_chance: 0.03,
+            success: OutcomeChances {
+                failing: 0.3,
+                sound: 0.975,
+            },
+            loss: OutcomeChances {
+                failing: 0.5,
+                sound: 0.004,
+            },
+            error: OutcomeChances {
+                failing: 0.3,
+                sound: 0.013,
+            },
+            stall: OutcomeChances {
+                failing: 0.4,
+                sound: 0.02,
+            },
         }
     }
 }
@@ -40,8 +70,33 @@
             failing_share: 0.01,
             spell_span: Duration::from_secs(6),
             failing_chance: 0.95,
-            sound_chance: 0.1,
-            stall_chance: 0.01,
+            sound_chance: 0.0,
+            success: OutcomeChances {
+                failing: 0.05,
+                sound: 0.9,
+            },
+            loss: OutcomeChances {
+                failing: 0.9,
+                sound: 0.1,
+            },
+            error: OutcomeChances {
+                failing: 1.0,
+                sound: 1.0,
+            },
+            stall: OutcomeChances {
+                failing: 0.95,
+                sound: 0.01,
+            },
+        }
+    }
+
+    fn chances(&self, signal: ServerSignal) -> Option<OutcomeChances> {
+        match signal {
+            ServerSignal::Success => Some(self.success),
+            ServerSignal::Failure => Some(self.loss),
+            ServerSignal::Error => Some(self.error),
+            ServerSignal::Stall | ServerSignal::Unreachable => Some(self.stall),
+            ServerSignal::Shed | ServerSignal::Nothing => None,
         }
     }
 }
@@ -50,12 +105,16 @@
 /// outcomes that hosts saw.
 ///
 /// The belief follows Bayes' rule from outcome to outcome, and returns to the
-/// share of failing servers in between, since spells begin and end.
+/// share of failing servers in between, since spells begin and end. A success
+/// speaks for the time at which its request was sent: one that was sent before
+/// the last failure does not clear the server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerEvidence {
     /// Chance that the server is in a spell; none before the first outcome.
     belief: Option<f64>,
     updated: MonotonicTime,
+    /// When the failed request was sent that was sent last.
+    failed_send: Option<MonotonicTime>,
     /// Failures in a row.
     streak: u32,
     last_was_stall: bool,
@@ -66,37 +125,33 @@
 const BELIEF_MAX: f64 = 0.98;
 
 impl ServerEvidence {
-    /// Takes note of an answer in time.
-    pub fn note_success(&mut self, settings: &EvidenceSettings, now: MonotonicTime) {
-        let failing = 1.0 - settings.failing_chance;
-        self.update(settings, failing, 1.0 - settings.sound_chance, now);
-        self.streak = 0;
-        self.last_was_stall = false;
-    }
-
-    /// Takes note of a request that failed.
-    pub fn note_failure(&mut self, settings: &EvidenceSettings, now: MonotonicTime) {
-        self.update(
-            settings,
-            settings.failing_chance,
-            settings.sound_chance,
-            now,
-        );
-        self.streak += 1;
-        self.last_was_stall = false;
-    }
-
-    /// Takes note of a request that has no answer long after it should, or
-    /// of a server to which no connection can be made.
-    pub fn note_stall(&mut self, settings: &EvidenceSettings, now: MonotonicTime) {
-        self.update(
-            settings,
-            settings.failing_chance,
-            settings.stall_chance,
-            now,
-        );
-        self.streak += 1;
-        self.last_was_stall = true;
+    /// Takes note of the outcome of a request that was sent at `sent`.
+    pub fn note(
+        &mut self,
+        settings: &EvidenceSettings,
+        signal: ServerSignal,
+        sent: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        let Some(chances) = settings.chances(signal) else {
+            return;
+        };
+        if signal == ServerSignal::Success {
+            if self.failed_send.is_some_and(|failed| sent <= failed) {
+                return;
+            }
+            self.streak = 0;
+            self.last_was_stall = false;
+        } else {
+            self.failed_send = self.failed_send.max(Some(sent));
+            self.streak += 1;
+            self.last_was_stall = matches!(signal, ServerSignal::Stall | ServerSignal::Unreachable);
+        }
+        let before = self.belief(settings, now);
+        let failing = before * chances.failing;
+        let belief = failing / (failing + (1.0 - before) * chances.sound);
+        self.belief = Some(belief.clamp(BELIEF_MIN, BELIEF_MAX));
+        self.updated = now;
     }
 
     /// Chance that the server is in a failing spell.
@@ -129,18 +184,4 @@
     pub fn is_stalled(&self) -> bool {
         self.last_was_stall
     }
-
-    fn update(
-        &mut self,
-        settings: &EvidenceSettings,
-        if_failing: f64,
-        if_sound: f64,
-        now: MonotonicTime,
-    ) {
-        let before = self.belief(settings, now);
-        let failing = before * if_failing;
-        let belief = failing / (failing + (1.0 - before) * if_sound);
-        self.belief = Some(belief.clamp(BELIEF_MIN, BELIEF_MAX));
-        self.updated = now;
-    }
 }
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 pub use self::{
     active_window::ActiveWindow,
     copy_source::CopySource,
-    evidence::{EvidenceSettings, ServerEvidence},
+    evidence::{EvidenceSettings, OutcomeChances, ServerEvidence},
     host_table::{HostRow, HostTable, HostTableSettings, PeerReport, PeerSighting},
     lapse_rule::{LapseRule, LapseSettings},
     pool_settings::PoolSettings,
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -46,7 +46,7 @@
     pub explore_failures: f64,
     /// Time over which failed requests are counted for it.
     pub explore_span: Duration,
-    /// Belief in a failing spell below which a server may be sound again.
+    /// Belief in a failing spell above which a server is explored less often.
     pub explore_belief: f64,
     /// Gain of showing whether a server of which nothing was heard for long
     /// is sound, for requests that may be sent again.
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -171,6 +171,9 @@
 /// Failures in a row beyond which the pauses between tests grow no more.
 const TEST_STREAK_MAX: u32 = 5;
 
+/// Times the pause before a server that most likely still fails is explored.
+const SUSPECT_EXPLORE_FACTOR: u32 = 2;
+
 /// Times the pause where a test would hang rather than fail at once.
 const STALL_TEST_FACTOR: u32 = 2;
 
@@ -380,39 +383,43 @@
         }
     }
 
-    /// Takes note of what an attempt of this host showed of a server.
-    pub fn note_own(&mut self, key: ServerKey, signal: ServerSignal, now: MonotonicTime) {
-        if let Some(record) = self.servers.get_mut(key) {
+    /// Takes note of what an attempt of this host showed of a server. Its
+    /// request was sent at `sent`.
+    pub fn note_own(
+        &mut self,
+        key: ServerKey,
+        signal: ServerSignal,
+        sent: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        if let Some(record) = self.servers.get_mut(key)
+            && signal != ServerSignal::Error
+        {
             let settings = &self.settings.own_path;
-            match signal {
-                ServerSignal::Success => record.own_path.note_success(settings, now),
-                ServerSignal::Failure => record.own_path.note_failure(settings, now),
-                ServerSignal::Stall | ServerSignal::Unreachable => {
-                    record.own_path.note_stall(settings, now);
-                }
-                ServerSignal::Error | ServerSignal::Shed | ServerSignal::Nothing => {}
-            }
+            record.own_path.note(settings, signal, sent, now);
         }
         if signal != ServerSignal::Unreachable {
-            self.note(key, signal, now);
+            self.note(key, signal, sent, now);
         }
     }
 
-    /// Takes note of what an attempt of any host showed of a server.
-    pub fn note(&mut self, key: ServerKey, signal: ServerSignal, now: MonotonicTime) {
+    /// Takes note of what an attempt of any host showed of a server. Its
+    /// request was sent at `sent`.
+    pub fn note(
+        &mut self,
+        key: ServerKey,
+        signal: ServerSignal,
+        sent: MonotonicTime,
+        now: MonotonicTime,
+    ) {
         let Some(record) = self.servers.get_mut(key) else {
             return;
         };
-        let settings = &self.settings.evidence;
-        match signal {
-            ServerSignal::Success => record.evidence.note_success(settings, now),
-            ServerSignal::Failure | ServerSignal::Unreachable | ServerSignal::Error => {
-                record.evidence.note_failure(settings, now);
-            }
-            ServerSignal::Stall => record.evidence.note_stall(settings, now),
-            ServerSignal::Shed => record.full_until = now + self.settings.shed_pause,
-            ServerSignal::Nothing => {}
+        if signal == ServerSignal::Shed {
+            record.full_until = now + self.settings.shed_pause;
         }
+        let settings = &self.settings.evidence;
+        record.evidence.note(settings, signal, sent, now);
     }
 
     /// Takes note that a service has a request that may be repeated.
@@ -541,23 +548,27 @@
         1.0 - (1.0 - shared) * (1.0 - own)
     }
 
-    /// Whether a server that may be sound again has waited so long that a
-    /// request which may run only once shows it, for lack of others.
+    /// Whether nothing was heard of a server for so long that a request which
+    /// may run only once explores it, for lack of others.
     fn is_exploration_due(&self, record: &ServerRecord, service: &str, now: MonotonicTime) -> bool {
         let settings = &self.settings;
-        let is_long = |last: Option<MonotonicTime>| {
-            last.is_none_or(|at| now.since(at) >= settings.explore_pause)
+        if self.failed_share(service, now) <= settings.explore_failures
+            || record.running(settings.peer_load_span, now) > 0
+        {
+            return false;
+        }
+        let shared = record.evidence.belief(&settings.evidence, now);
+        let own = record.own_path.belief(&settings.own_path, now);
+        let pause = match shared.max(own) > settings.explore_belief {
+            true => settings.explore_pause * SUSPECT_EXPLORE_FACTOR,
+            false => settings.explore_pause,
         };
+        let is_long = |last: Option<MonotonicTime>| last.is_none_or(|at| now.since(at) >= pause);
         let last = record
             .evidence
             .last_outcome()
             .max(record.own_path.last_outcome());
-        self.failed_share(service, now) > settings.explore_failures
-            && is_long(last)
-            && is_long(self.repeatable.get(service).copied())
-            && record.running(settings.peer_load_span, now) == 0
-            && record.evidence.belief(&settings.evidence, now) < settings.explore_belief
-            && record.own_path.belief(&settings.own_path, now) < settings.explore_belief
+        is_long(last) && is_long(self.repeatable.get(service).copied())
     }
 
     /// Whether a suspected server may be tested: the longer it fails, the
--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -52,8 +52,8 @@
     dispatch::{
         ActiveWindow, AllowanceSettings, ChoiceAsk, ChoiceRefusal, CopyDelta, CopyRow, CopySource,
         EvidenceSettings, HostRow, HostTable, HostTableSettings, LapseRule, LapseSettings,
-        LedgerAsk, LedgerSettings, PeerKey, PeerReport, PeerSighting, PoolSettings, ReadState,
-        ReadTimer, RetryAllowance, ServerChoice, ServerEntry, ServerEvidence, ServerKey,
+        LedgerAsk, LedgerSettings, OutcomeChances, PeerKey, PeerReport, PeerSighting, PoolSettings,
+        ReadState, ReadTimer, RetryAllowance, ServerChoice, ServerEntry, ServerEvidence, ServerKey,
         ServerPool, ServerSignal, SplitTurn, TableCopy, TokenLedger, TokenVerdict,
     },
     lease::{
--- a/crates/mangostep-policy/tests/dispatch/failing_spells.rs
+++ b/crates/mangostep-policy/tests/dispatch/failing_spells.rs
@@ -61,7 +61,7 @@
             true => ServerSignal::Failure,
             false => ServerSignal::Success,
         };
-        pool.note_own(key, signal, now);
+        pool.note_own(key, signal, now, now);
         to_failing += u32::from(is_failing);
         if kind == RequestKind::NonIdempotent {
             once += 1.0;
@@ -87,7 +87,7 @@
     let mut pool = pool_of(4);
     let mut random = SmallRng::seed_from_u64(3);
     let failed = pool.find("s0").expect("known");
-    (0..3).for_each(|_| pool.note_own(failed, ServerSignal::Failure, at_ms(0)));
+    (0..3).for_each(|_| pool.note_own(failed, ServerSignal::Failure, at_ms(0), at_ms(0)));
     let mut first = None;
     for step in 0..400_u64 {
         let now = at_ms(step * 20);
@@ -96,7 +96,7 @@
             _ => RequestKind::NonIdempotent,
         };
         let key = pick(&pool, kind, &mut random, now);
-        pool.note_own(key, ServerSignal::Success, now);
+        pool.note_own(key, ServerSignal::Success, now, now);
         if key == failed && kind == RequestKind::Idempotent {
             first.get_or_insert(step * 20);
         }
@@ -114,19 +114,56 @@
     let mut pool = pool_of(10);
     let mut random = SmallRng::seed_from_u64(5);
     let quiet = pool.find("s9").expect("known");
-    pool.note_own(quiet, ServerSignal::Failure, at_ms(0));
+    pool.note_own(quiet, ServerSignal::Failure, at_ms(0), at_ms(0));
     let mut gets = 0;
     for step in 0..200_u64 {
         let now = at_ms(step * 20);
         let key = pick(&pool, RequestKind::NonIdempotent, &mut random, now);
         let is_served = step % 8 != 0;
-        pool.note_own(key, ServerSignal::Success, now);
+        pool.note_own(key, ServerSignal::Success, now, now);
         pool.note_ended("ledger", is_served, now);
         gets += u32::from(key == quiet);
     }
     assert!(gets > 0, "the server got nothing for four seconds");
 }
 
+/// A request that was sent before a spell began ends well after its first
+/// reset.
+#[test]
+fn an_older_success_does_not_clear_a_server_that_failed_since() {
+    let mut pool = pool_of(2);
+    let mut random = SmallRng::seed_from_u64(4);
+    let [failing, other] = ["s0", "s1"].map(|id| pool.find(id).expect("known"));
+    (0..5).for_each(|_| pool.note_own(failing, ServerSignal::Success, at_ms(0), at_ms(0)));
+    pool.note_own(failing, ServerSignal::Failure, at_ms(200), at_ms(202));
+    let before = pool.chance(failing, at_ms(250));
+    for _ in 0..3 {
+        pool.note(failing, ServerSignal::Success, at_ms(100), at_ms(250));
+    }
+    assert!(pool.chance(failing, at_ms(250)) >= before);
+    let key = pick(&pool, RequestKind::NonIdempotent, &mut random, at_ms(251));
+    assert_eq!(key, other);
+    // One that was sent since does.
+    for _ in 0..5 {
+        pool.note(failing, ServerSignal::Success, at_ms(260), at_ms(500));
+    }
+    assert!(pool.chance(failing, at_ms(500)) < 0.05);
+}
+
+/// Sound servers give one error in a hundred answers.
+#[test]
+fn a_single_error_answer_weighs_less_than_a_reset() {
+    let mut pool = pool_of(2);
+    let [reset, error] = ["s0", "s1"].map(|id| pool.find(id).expect("known"));
+    for key in [reset, error] {
+        (0..5).for_each(|_| pool.note(key, ServerSignal::Success, at_ms(0), at_ms(100)));
+    }
+    pool.note(reset, ServerSignal::Failure, at_ms(300), at_ms(302));
+    pool.note(error, ServerSignal::Error, at_ms(300), at_ms(500));
+    assert!(pool.chance(error, at_ms(500)) < 0.2);
+    assert!(pool.chance(reset, at_ms(302)) > 0.3);
+}
+
 /// This host's way to a server is cut, and all others reach it.
 #[test]
 fn successes_of_other_hosts_do_not_clear_a_cut_way() {
@@ -134,9 +171,9 @@
     let cut = pool.find("s0").expect("known");
     let mut random = SmallRng::seed_from_u64(9);
     for _ in 0..3 {
-        pool.note_own(cut, ServerSignal::Unreachable, at_ms(0));
+        pool.note_own(cut, ServerSignal::Unreachable, at_ms(0), at_ms(0));
     }
-    (0..20).for_each(|_| pool.note(cut, ServerSignal::Success, at_ms(1)));
+    (0..20).for_each(|_| pool.note(cut, ServerSignal::Success, at_ms(1), at_ms(1)));
     for step in 0..50 {
         let now = at_ms(2 + step);
         assert_ne!(
@@ -152,10 +189,10 @@
     let mut pool = pool_of(3);
     let mut random = SmallRng::seed_from_u64(2);
     let failing = pool.find("s2").expect("known");
-    (0..3).for_each(|_| pool.note_own(failing, ServerSignal::Failure, at_ms(0)));
+    (0..3).for_each(|_| pool.note_own(failing, ServerSignal::Failure, at_ms(0), at_ms(0)));
     for id in ["s0", "s1"] {
         let key = pool.find(id).expect("known");
-        pool.note_own(key, ServerSignal::Shed, at_ms(1));
+        pool.note_own(key, ServerSignal::Shed, at_ms(1), at_ms(1));
     }
     for _ in 0..20 {
         assert_ne!(
