Publish one list of each zone's hosts by its watchers

Cause: each host reported to the next 24 hosts of a ring over its zone, so that the hosts of a zone of 44 knew different parts of it, named different hosts and told different hosts of failures.

Change: hosts report to the three watchers of their zone, which follow the store already. The best watcher works out which hosts callers are led to and which send requests; the watchers publish that list. Named hosts stay named for 12 s after the load asked for them, since each change moves callers and connections.

--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -62,9 +62,15 @@
     table: FleetTable,
 ) {
     let mut is_whole = false;
+    let mut was_watcher = false;
     let mut failures = 0;
     while context.phase.get() < HostPhase::Closing {
-        if is_whole && !context.hosts.borrow().is_watcher(clock::now()) {
+        let is_watcher = context.hosts.borrow().is_watcher(clock::now());
+        if is_watcher != was_watcher {
+            was_watcher = is_watcher;
+            context.report_wake.notify_one();
+        }
+        if is_whole && !is_watcher {
             tokio::time::sleep(ROLE_PAUSE).await;
             continue;
         }
@@ -128,8 +134,7 @@
             }
         };
         tokio::time::sleep(pause).await;
-        let mut behind: Vec<(FleetTable, BehindTable)> =
-            context.peers.behind.borrow_mut().drain().collect();
+        let mut behind = choose_sources(&context);
         for table in FleetTable::ALL {
             let is_known = context.tables.borrow().of(table).is_known;
             if !is_known && behind.iter().all(|(other, _)| *other != table) {
@@ -149,6 +154,18 @@
     }
 }
 
+/// One of the hosts that have a newer copy, for each table that has one; hosts
+/// of a zone spread over them.
+fn choose_sources(context: &HostContext) -> Vec<(FleetTable, BehindTable)> {
+    let mut random = context.random.borrow_mut();
+    let behind = context.peers.behind.take();
+    let chosen = behind.into_iter().filter_map(|(table, sources)| {
+        let at = random.random_range(0..sources.len().max(1));
+        sources.get(at).map(|source| (table, *source))
+    });
+    chosen.collect()
+}
+
 /// Reads a change from the store where it is too large for the links of
 /// hosts; tells whether that was done.
 async fn read_from_store<P: Platform>(
@@ -157,7 +174,7 @@
     table: FleetTable,
     lacking: BehindTable,
 ) -> bool {
-    let readers = context.hosts.borrow().zone_peers().len();
+    let readers = context.hosts.borrow().zone_rows().count();
     if CopySource::of(lacking.bytes, readers) == CopySource::Host {
         return false;
     }
--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -1,7 +1,7 @@
 use std::borrow::Cow;
 
 use {
-    mangostep_policy::{HostRow, PeerReport, ServerSignal},
+    mangostep_policy::{HostRow, PeerReport, ServerSignal, ZoneList},
     serde::{Deserialize, Serialize},
 };
 
@@ -13,7 +13,7 @@
 /// A datagram from host to host.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum PeerMessage<'a> {
-    /// What a host tells of itself and its zone.
+    /// What a host tells of itself, and a watcher of the zones.
     #[serde(borrow)]
     Report(Box<HostReport<'a>>),
     /// What a host has running at a backend server, and what it saw there.
@@ -37,9 +37,8 @@
     pub(crate) report: PeerReport,
     /// The sender's row, for hosts that cannot read it from the store.
     pub(crate) row: Option<HostRow>,
-    pub(crate) zone: String,
-    /// Hosts that callers of the zone are led to.
-    pub(crate) named: Vec<String>,
+    /// Lists of zones; sent when one changed, and every few turns.
+    pub(crate) lists: Vec<ZoneList>,
     pub(crate) tables: Vec<TableMark>,
 }
 
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -18,7 +18,7 @@
 };
 
 use {
-    mangostep_policy::TokenVerdict,
+    mangostep_policy::{TokenVerdict, ZoneList},
     tokio::{net::UdpSocket, sync::oneshot},
 };
 
@@ -29,7 +29,7 @@
     signals::tell_signal,
     tokens::ask_token,
 };
-use crate::prelude::*;
+use crate::{platform::FleetTable, prelude::*};
 
 /// A change that another host has and this one lacks.
 #[derive(Clone, Copy, Debug)]
@@ -48,8 +48,12 @@
     /// Homes of tokens that did not answer, and until when they are passed
     /// over.
     silent_homes: RefCell<HashMap<String, MonotonicTime>>,
-    /// Tables to be read from another host.
-    pub(crate) behind: RefCell<HashMap<crate::platform::FleetTable, BehindTable>>,
+    /// Datagrams that could not be sent since they were last counted.
+    unsent: Cell<u64>,
+    /// The lists that were sent last.
+    sent_lists: RefCell<Vec<ZoneList>>,
+    /// Tables to be read from one of the hosts that have a newer copy.
+    pub(crate) behind: RefCell<HashMap<FleetTable, Vec<BehindTable>>>,
     pub(crate) behind_wake: tokio::sync::Notify,
 }
 
@@ -62,13 +66,18 @@
             next_ask: Cell::new(1),
             asks: RefCell::default(),
             silent_homes: RefCell::default(),
+            unsent: Cell::new(0),
+            sent_lists: RefCell::default(),
             behind: RefCell::default(),
             behind_wake: tokio::sync::Notify::new(),
         })
     }
 
-    /// Sends a datagram. A full socket loses it, as the network may.
+    /// Sends a datagram. A full socket loses it, as the network may; the
+    /// reports count those.
     pub(crate) fn send(&self, bytes: &[u8], to: SocketAddr) {
-        let _ = self.socket.try_send_to(bytes, to);
+        if self.socket.try_send_to(bytes, to).is_err() {
+            self.unsent.set(self.unsent.get() + 1);
+        }
     }
 }
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -61,18 +61,26 @@
         hosts.put(row);
     }
     let is_ready = report.report.is_ready;
-    let is_near = report.zone == hosts.own().zone;
+    let is_near = hosts
+        .row(&report.host)
+        .is_some_and(|row| row.zone == hosts.own().zone);
     if hosts.note_report(&report.host, report.report, now) && is_near {
-        info!(context.log, "host heard of"; "peer" => &*report.host, "ready" => is_ready);
+        info!(context.log, "host readiness"; "peer" => &*report.host, "ready" => is_ready);
+        if hosts.makes_list(now) {
+            context.report_wake.notify_one();
+        }
+    }
+    for list in report.lists {
+        hosts.note_list(&report.host, list, now);
     }
-    hosts.note_zone(&report.zone, report.named, now);
     let tables = context.tables.borrow();
     let mut behind = context.peers.behind.borrow_mut();
     for mark in report.tables {
         let own = tables.of(mark.table);
         let is_behind = mark.digest != own.digest && mark.version > own.copy.version();
         if let Some(copies) = copies.filter(|_| is_behind || !own.is_known) {
-            behind.entry(mark.table).or_insert(BehindTable {
+            let sources = behind.entry(mark.table).or_default();
+            sources.push(BehindTable {
                 address: copies,
                 bytes: mark.changed_bytes,
             });
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -4,50 +4,11 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-
-use crate::{MonotonicTime, rendezvous_order};
-
-/// What a host writes of itself into the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostRow {
-    /// Name, unique in the fleet.
-    pub name: String,
-    /// Region that it stands in.
-    pub region: String,
-    /// Availability zone that it stands in.
-    pub zone: String,
-    /// Address for callers.
-    pub front: SocketAddr,
-    /// Address for datagrams of other hosts.
-    pub peer: SocketAddr,
-    /// Address at which other hosts read its copies of tables.
-    pub copies: SocketAddr,
-}
-
-/// What a host tells other hosts about itself twice a second.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PeerReport {
-    /// Start of the process, in milliseconds since 1970.
-    pub incarnation: u64,
-    /// Whether it takes callers.
-    pub is_ready: bool,
-    /// Requests a second from callers, over the last seconds.
-    pub rate_per_s: f64,
-    /// Requests a second that it can carry.
-    pub capacity_per_s: f64,
-    /// Whether its last call to the platform's store failed.
-    pub store_failed: bool,
-}
-
-/// A host that was heard of, by itself or by another host.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PeerSighting {
-    /// Its last report.
-    pub report: PeerReport,
-    /// When it was heard.
-    pub heard: MonotonicTime,
-}
+use crate::{
+    MonotonicTime,
+    dispatch::{HostRow, PeerReport, PeerSighting, ZoneList},
+    rendezvous_order,
+};
 
 /// Settings of a [`HostTable`].
 #[derive(Clone, Debug, PartialEq)]
@@ -55,24 +16,39 @@
     /// Silence after which a host counts as gone: three reports, each half a
     /// second after the other, and a little for their delay.
     pub silence: Duration,
-    /// Hosts of each zone that follow the store; the others read from them.
-    /// Two may fail or be refused at once.
+    /// Watchers of each zone. Two may fail or be refused by the store at once.
     pub watchers: usize,
-    /// Silence after which a host that follows the store is replaced; sooner
-    /// than it counts as gone, for changes must be in force within seconds.
+    /// Silence after which a watcher is replaced; sooner than it counts as
+    /// gone, for changes must be in force within seconds.
     pub watcher_silence: Duration,
+    /// Further silence that each host leaves to the next better one before
+    /// it becomes a watcher, so that not all do at once.
+    pub succession_step: Duration,
+    /// Most of that further silence.
+    pub succession_max: Duration,
+    /// Time after its start in which a host takes hosts that it has not heard
+    /// for alive, so that not all hosts of a zone that starts are watchers.
+    pub succession_start: Duration,
     /// Time after its start in which a host has not heard of all others: two
     /// reports of theirs, and a little for their delay.
     pub listening: Duration,
-    /// Most hosts of the own availability zone that get each report.
-    pub zone_peers: usize,
+    /// Time for which a zone's list is used after it was heard: two of the
+    /// times at which an unchanged list is sent again, and a little.
+    pub list_keep: Duration,
     /// Fewest hosts that callers of a zone are led to, as long as so many
     /// are alive: one may die and the others still have room.
     pub named_min: usize,
     /// Most hosts that callers of a zone are led to; callers take no more.
     pub named_max: usize,
+    /// Time for which hosts stay named after their capacity was asked for:
+    /// each change of the named hosts moves callers and their connections.
+    pub named_keep: Duration,
     /// Share of its capacity up to which a host is planned to be used.
     pub planned_use: f64,
+    /// Requests a second from which on a host counts as serving though no
+    /// caller is led to it: callers keep old answers for seconds. Checks of
+    /// single hosts stay below it.
+    pub serving_rate_per_s: f64,
 }
 
 impl Default for HostTableSettings {
@@ -81,11 +57,16 @@
             silence: Duration::from_millis(1_700),
             watchers: 3,
             watcher_silence: Duration::from_millis(1_200),
+            succession_step: Duration::from_millis(30),
+            succession_max: Duration::from_millis(300),
+            succession_start: Duration::from_millis(600),
             listening: Duration::from_millis(1_200),
-            zone_peers: 24,
+            list_keep: Duration::from_millis(4_500),
             named_min: 4,
             named_max: 64,
+            named_keep: Duration::from_secs(12),
             planned_use: 0.5,
+            serving_rate_per_s: 3.0,
         }
     }
 }
@@ -94,7 +75,19 @@
 /// still get callers that hold older answers.
 const NAMED_SHARE: f64 = 0.75;
 
+/// Time after which a host that hears too few watchers reports to twice as
+/// many hosts: one turn of reports.
+const LONELY_STEP: Duration = Duration::from_millis(500);
+
+/// Resource whose rendezvous order ranks the watchers of a zone.
+const WATCHER_ORDER: &str = "watch";
+
 /// The hosts of the fleet, and which of them callers are led to.
+///
+/// Each zone has a few watchers, which follow the store. All hosts report to
+/// the watchers of their zone. The best watcher works out the zone's
+/// [`ZoneList`], and all watchers publish it, so that the hosts of a zone
+/// agree, and a host that is no watcher hears of a few others only.
 #[derive(Clone, Debug)]
 pub struct HostTable {
     settings: HostTableSettings,
@@ -103,8 +96,29 @@
     own_report: PeerReport,
     rows: BTreeMap<String, HostRow>,
     seen: HashMap<String, PeerSighting>,
-    /// Hosts that other zones say they lead callers to.
-    zone_named: HashMap<String, (Vec<String>, MonotonicTime)>,
+    lists: BTreeMap<String, ListSighting>,
+    /// Since when this host is a watcher.
+    watching_since: Option<MonotonicTime>,
+    /// Since when too few watchers were heard.
+    lonely_since: Option<MonotonicTime>,
+    /// Whether the next reports go to all hosts of the zone.
+    is_publishing: bool,
+    /// Hosts that the zone's load asked for, at its highest of late.
+    named_need: NamedNeed,
+}
+
+/// A zone's list with the watcher that told it.
+#[derive(Clone, Debug)]
+struct ListSighting {
+    list: ZoneList,
+    by: String,
+    heard: MonotonicTime,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct NamedNeed {
+    count: usize,
+    at: MonotonicTime,
 }
 
 impl HostTable {
@@ -117,7 +131,11 @@
             opened: now,
             own_report: PeerReport::default(),
             seen: HashMap::new(),
-            zone_named: HashMap::new(),
+            lists: BTreeMap::new(),
+            watching_since: None,
+            lonely_since: None,
+            is_publishing: false,
+            named_need: NamedNeed::default(),
         }
     }
 
@@ -126,9 +144,9 @@
         &self.own
     }
 
-    /// Sets what the own host reports.
-    pub fn set_own_report(&mut self, report: PeerReport) {
-        self.own_report = report;
+    /// The last report of the own host.
+    pub fn own_report(&self) -> &PeerReport {
+        &self.own_report
     }
 
     /// Adds a host or takes over its new row.
@@ -155,29 +173,84 @@
         self.rows.values()
     }
 
-    /// Takes note of a host's report about itself; tells whether it is new
-    /// that the host is alive.
+    /// Rows of the own zone, the own one included.
+    pub fn zone_rows(&self) -> impl Iterator<Item = &HostRow> {
+        self.rows.values().filter(|row| row.zone == self.own.zone)
+    }
+
+    /// Begins a turn of reports with the own report, and works the zone's list
+    /// out if that falls to this host. Returns the report to send.
+    pub fn begin_turn(&mut self, report: PeerReport, now: MonotonicTime) -> &PeerReport {
+        let is_watcher = !report.is_leaving && self.is_watcher(now);
+        match is_watcher {
+            true => drop(self.watching_since.get_or_insert(now)),
+            false => self.watching_since = None,
+        }
+        let listening = self.settings.listening;
+        let watching = self.watching_since.map(|since| now.since(since));
+        // A watcher that steps down tells all hosts, who look for the next.
+        self.is_publishing = is_watcher || self.own_report.is_watcher;
+        self.own_report = PeerReport {
+            is_watcher,
+            knows_zone: watching.is_some_and(|span| span >= listening),
+            ..report
+        };
+        let watchers = self.heard_watchers(now).count() + usize::from(is_watcher);
+        match watchers < self.settings.watchers.min(2) {
+            true => drop(self.lonely_since.get_or_insert(now)),
+            false => self.lonely_since = None,
+        }
+        if self.makes_list(now) {
+            let sighting = ListSighting {
+                list: self.make_list(now),
+                by: self.own.name.clone(),
+                heard: now,
+            };
+            self.lists.insert(self.own.zone.clone(), sighting);
+        }
+        &self.own_report
+    }
+
+    /// Takes note of a host's report about itself; tells whether it changes
+    /// which hosts take callers.
     pub fn note_report(&mut self, name: &str, report: PeerReport, now: MonotonicTime) -> bool {
-        let was_alive = self.is_alive(name, now);
+        let was_ready = self.is_ready(name, now);
+        let is_ready = report.is_ready;
         let sighting = PeerSighting { report, heard: now };
         self.seen.insert(name.to_owned(), sighting);
-        !was_alive
+        was_ready != is_ready
     }
 
-    /// Takes note of the hosts that another zone leads its callers to.
-    pub fn note_zone(&mut self, zone: &str, named: Vec<String>, now: MonotonicTime) {
-        if zone != self.own.zone {
-            self.zone_named.insert(zone.to_owned(), (named, now));
+    /// Takes note of a zone's list that `by` tells. The list of the own zone
+    /// is taken from its best watcher.
+    pub fn note_list(&mut self, by: &str, list: ZoneList, now: MonotonicTime) {
+        if list.zone == self.own.zone {
+            let known = self.lists.get(&list.zone);
+            let is_best = known.is_none_or(|known| {
+                known.by == by
+                    || !self.is_heard_watcher(&known.by, now)
+                    || !is_better_watcher(&known.by, by)
+            });
+            if !is_best || self.makes_list(now) {
+                return;
+            }
         }
+        let sighting = ListSighting {
+            by: by.to_owned(),
+            heard: now,
+            list,
+        };
+        self.lists.insert(sighting.list.zone.clone(), sighting);
     }
 
     /// Whether a host was heard of a moment ago.
     pub fn is_alive(&self, name: &str, now: MonotonicTime) -> bool {
-        name == self.own.name
-            || self
-                .seen
-                .get(name)
-                .is_some_and(|seen| now.since(seen.heard) < self.settings.silence)
+        name == self.own.name || self.is_heard(name, self.settings.silence, now)
+    }
+
+    fn is_heard(&self, name: &str, silence: Duration, now: MonotonicTime) -> bool {
+        let seen = self.seen.get(name);
+        seen.is_some_and(|seen| now.since(seen.heard) < silence)
     }
 
     fn is_ready(&self, name: &str, now: MonotonicTime) -> bool {
@@ -194,94 +267,139 @@
         }
     }
 
-    fn zone_rows(&self, zone: &str) -> impl Iterator<Item = &HostRow> {
-        self.rows.values().filter(move |row| row.zone == zone)
+    /// Whether this host follows the store and collects the reports of its
+    /// zone: it is among the first of its zone that the store answers.
+    pub fn is_watcher(&self, now: MonotonicTime) -> bool {
+        let names: Vec<&str> = self.zone_rows().map(|row| row.name.as_str()).collect();
+        let order = rendezvous_order(WATCHER_ORDER, names);
+        let own = order.iter().position(|name| *name == self.own.name);
+        let own = own.unwrap_or_default();
+        let settings = &self.settings;
+        let wait = match self.own_report.is_watcher {
+            true => Duration::ZERO,
+            false => settings.succession_step * u32::try_from(own).unwrap_or(u32::MAX),
+        };
+        let wait = wait.min(settings.succession_max);
+        let is_new = now.since(self.opened) < settings.succession_start + wait;
+        let better = order[..own]
+            .iter()
+            .filter(|name| match self.seen.get(**name) {
+                Some(seen) => {
+                    now.since(seen.heard) < settings.watcher_silence + wait
+                        && !seen.report.store_failed
+                        && !seen.report.is_leaving
+                }
+                None => is_new,
+            });
+        better.count() < settings.watchers
+    }
+
+    fn is_heard_watcher(&self, name: &str, now: MonotonicTime) -> bool {
+        self.is_heard(name, self.settings.watcher_silence, now) && self.seen[name].report.is_watcher
     }
 
-    /// The hosts of the own zone that callers are led to, in order.
+    /// Other watchers of the own zone that were heard a moment ago.
+    fn heard_watchers(&self, now: MonotonicTime) -> impl Iterator<Item = &HostRow> {
+        let others = self.zone_rows().filter(|row| row.name != self.own.name);
+        others.filter(move |row| self.is_heard_watcher(&row.name, now))
+    }
+
+    /// Whether this host works out its zone's list: it is the best watcher
+    /// that has heard from all hosts.
+    pub fn makes_list(&self, now: MonotonicTime) -> bool {
+        let is_worse = |row: &HostRow| {
+            !self.seen[&row.name].report.knows_zone || is_better_watcher(&self.own.name, &row.name)
+        };
+        self.own_report.knows_zone && self.heard_watchers(now).all(is_worse)
+    }
+
+    /// Works out the list of the own zone.
     ///
     /// Few hosts carry all callers of a zone, so that each sees much of what
     /// the backend servers do; as many as their capacities ask for.
-    pub fn named_here(&self, now: MonotonicTime) -> Vec<&HostRow> {
-        let names = self.zone_rows(&self.own.zone).map(|row| row.name.as_str());
-        let ready = names.filter(|name| self.is_ready(name, now));
+    fn make_list(&mut self, now: MonotonicTime) -> ZoneList {
+        let names = self.zone_rows().map(|row| row.name.as_str());
+        let ready: Vec<&str> = names.filter(|name| self.is_ready(name, now)).collect();
         let order = rendezvous_order(&self.own.zone, ready);
         let report = |name: &&str| self.report(name);
         let rate: f64 = order.iter().filter_map(report).map(|r| r.rate_per_s).sum();
         let mut planned = 0.0;
-        let mut named = Vec::new();
-        for name in order {
-            let is_enough = named.len() >= self.settings.named_min && planned >= rate;
-            if is_enough || named.len() >= self.settings.named_max {
+        let mut need = 0;
+        for report in order.iter().filter_map(report) {
+            if planned >= rate {
                 break;
             }
-            if let (Some(row), Some(report)) = (self.rows.get(name), self.report(name)) {
-                planned += report.capacity_per_s * self.settings.planned_use;
-                named.push(row);
-            }
+            planned += report.capacity_per_s * self.settings.planned_use;
+            need += 1;
+        }
+        let need = need.clamp(self.settings.named_min, self.settings.named_max);
+        let kept = self.named_need;
+        let is_kept = now.since(kept.at) < self.settings.named_keep;
+        let count = match is_kept {
+            true => need.max(kept.count),
+            false => need,
+        };
+        let named: Vec<String> = order.iter().take(count).map(|n| (*n).to_owned()).collect();
+        let serving = self.zone_rows().filter(|row| {
+            let report = self.report(&row.name);
+            let is_busy = |r: &PeerReport| r.rate_per_s >= self.settings.serving_rate_per_s;
+            self.is_alive(&row.name, now) && report.is_some_and(is_busy)
+        });
+        let serving: Vec<String> = serving.map(|row| row.name.clone()).collect();
+        let late = serving.into_iter().filter(|name| !named.contains(name));
+        let serving = named.iter().cloned().chain(late).collect();
+        if need >= count {
+            self.named_need = NamedNeed {
+                count: need,
+                at: now,
+            };
         }
-        named
+        ZoneList {
+            zone: self.own.zone.clone(),
+            named,
+            serving,
+        }
+    }
+
+    /// The lists that were heard a moment ago.
+    pub fn lists(&self, now: MonotonicTime) -> impl Iterator<Item = &ZoneList> {
+        let keep = self.settings.list_keep;
+        let sightings = self.lists.values();
+        let fresh = sightings.filter(move |sighting| now.since(sighting.heard) < keep);
+        fresh.map(|sighting| &sighting.list)
+    }
+
+    fn list(&self, zone: &str, now: MonotonicTime) -> Option<&ZoneList> {
+        self.lists(now).find(|list| list.zone == zone)
     }
 
     /// The hosts that callers of a zone are led to: those of the zone, else
     /// those of the own zone, else the own host.
     pub fn named_for(&self, zone: &str, now: MonotonicTime) -> Vec<&HostRow> {
-        if zone != self.own.zone
-            && let Some((names, heard)) = self.zone_named.get(zone)
-            && now.since(*heard) < self.settings.silence
-        {
-            let named = names.iter().filter_map(|name| self.rows.get(name));
-            let named: Vec<&HostRow> = named.collect();
-            if !named.is_empty() {
-                return named;
+        for zone in [zone, &self.own.zone] {
+            let named = self.list(zone, now).map_or(&[][..], |list| &list.named);
+            let rows: Vec<&HostRow> = self.rows_of(named).collect();
+            if !rows.is_empty() {
+                return rows;
             }
         }
-        let named = self.named_here(now);
-        match named.is_empty() {
-            true => vec![&self.own],
-            false => named,
-        }
+        vec![&self.own]
     }
 
-    /// Whether this host follows the store: it is among the first of its zone
-    /// that the store answers.
-    pub fn is_watcher(&self, now: MonotonicTime) -> bool {
-        let names = self.zone_rows(&self.own.zone).map(|row| row.name.as_str());
-        let able = names.filter(|name| {
-            *name == self.own.name
-                || self.seen.get(*name).is_some_and(|seen| {
-                    now.since(seen.heard) < self.settings.watcher_silence
-                        && !seen.report.store_failed
-                })
-        });
-        let order = rendezvous_order("watch", able);
-        let first = order.iter().take(self.settings.watchers);
-        first.into_iter().any(|name| *name == self.own.name)
+    fn rows_of<'t>(&'t self, names: &'t [String]) -> impl Iterator<Item = &'t HostRow> {
+        names.iter().filter_map(|name| self.rows.get(name))
     }
 
-    /// Hosts that send requests now, the own one included.
+    /// Hosts that callers are led to, the own one included.
     pub fn active(&self, now: MonotonicTime) -> usize {
-        let elsewhere = self.zone_named.values();
-        let fresh = elsewhere.filter(|(_, heard)| now.since(*heard) < self.settings.silence);
-        let elsewhere: usize = fresh.map(|(names, _)| names.len()).sum();
-        (self.named_here(now).len() + elsewhere).max(1)
-    }
-
-    /// Hosts of the own zone to report to, by a ring over their names.
-    pub fn zone_peers(&self) -> Vec<&HostRow> {
-        let rows: Vec<&HostRow> = self.zone_rows(&self.own.zone).collect();
-        let own = rows.iter().position(|row| row.name == self.own.name);
-        let start = own.map_or(0, |at| at + 1);
-        let others = rows.len().saturating_sub(1);
-        (0..others.min(self.settings.zone_peers))
-            .map(|step| rows[(start + step) % rows.len()])
-            .collect()
+        let named: usize = self.lists(now).map(|list| list.named.len()).sum();
+        named.max(1)
     }
 
     /// Whether callers are led to this host.
     pub fn is_named(&self, now: MonotonicTime) -> bool {
-        let named = self.named_here(now);
-        named.iter().any(|row| row.name == self.own.name)
+        let list = self.list(&self.own.zone, now);
+        list.is_none_or(|list| list.named.contains(&self.own.name))
     }
 
     /// Whether this host learns what the others send: callers are led to it,
@@ -301,33 +419,67 @@
         }
     }
 
-    /// One host in each other zone to report to, another one each `turn`.
-    pub fn far_peers(&self, turn: usize) -> Vec<&HostRow> {
-        let mut zones: BTreeMap<&str, Vec<&HostRow>> = BTreeMap::new();
-        for row in self.rows.values().filter(|row| row.zone != self.own.zone) {
-            zones.entry(&row.zone).or_default().push(row);
-        }
-        zones.values().map(|rows| rows[turn % rows.len()]).collect()
-    }
-
     /// Hosts that should learn of a request's start and end: those of the
-    /// own zone that callers are led to.
+    /// own zone that send requests.
     pub fn near_observers(&self, now: MonotonicTime) -> Vec<SocketAddr> {
-        let named = self.named_here(now).into_iter();
-        let others = named.filter(|row| row.name != self.own.name);
-        others.map(|row| row.peer).collect()
+        let list = self.list(&self.own.zone, now);
+        self.peers_of(list.into_iter())
     }
 
-    /// Hosts that should learn of a failure: all those that callers are led
-    /// to.
+    /// Hosts that should learn of a failure: all those that send requests.
     pub fn observers(&self, now: MonotonicTime) -> Vec<SocketAddr> {
-        let fresh = |heard: MonotonicTime| now.since(heard) < self.settings.silence;
-        let elsewhere = self.zone_named.values().filter(|(_, heard)| fresh(*heard));
-        let elsewhere = elsewhere.flat_map(|(names, _)| names);
-        let elsewhere = elsewhere.filter_map(|name| self.rows.get(name));
-        let mut all = self.near_observers(now);
-        all.extend(elsewhere.map(|row| row.peer));
-        all
+        self.peers_of(self.lists(now))
+    }
+
+    fn peers_of<'t>(&'t self, lists: impl Iterator<Item = &'t ZoneList>) -> Vec<SocketAddr> {
+        let rows = lists.flat_map(|list| self.rows_of(&list.serving));
+        let others = rows.filter(|row| row.name != self.own.name);
+        others.map(|row| row.peer).collect()
+    }
+
+    /// Hosts of the own zone to report to: all of them for a watcher, the
+    /// watchers for the others. While too few watchers are heard, those hosts
+    /// that may become one get reports as well, more of them as time passes.
+    pub fn report_targets(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let others = self.zone_rows().filter(|row| row.name != self.own.name);
+        if self.is_publishing {
+            return others.map(|row| row.peer).collect();
+        }
+        let mut targets: Vec<SocketAddr> = self.heard_watchers(now).map(|r| r.peer).collect();
+        if let Some(since) = self.lonely_since {
+            let doublings = now.since(since).as_millis() / LONELY_STEP.as_millis() + 1;
+            let reach = self.settings.watchers << doublings.min(8);
+            let names: Vec<&str> = others.map(|row| row.name.as_str()).collect();
+            let order = rendezvous_order(WATCHER_ORDER, names);
+            let next = order.into_iter().filter_map(|name| self.rows.get(name));
+            for row in next.take(reach) {
+                if !targets.contains(&row.peer) {
+                    targets.push(row.peer);
+                }
+            }
+        }
+        targets
+    }
+
+    /// Hosts of the other zones to report to: the watchers that were heard,
+    /// and another host of each zone each `turn`. Only watchers report there.
+    pub fn far_targets(&self, turn: usize, now: MonotonicTime) -> Vec<SocketAddr> {
+        if !self.own_report.is_watcher {
+            return Vec::new();
+        }
+        let mut zones: BTreeMap<&str, Vec<&HostRow>> = BTreeMap::new();
+        for row in self.rows.values().filter(|row| row.zone != self.own.zone) {
+            zones.entry(&row.zone).or_default().push(row);
+        }
+        let mut targets = Vec::new();
+        for rows in zones.values() {
+            let watchers = rows
+                .iter()
+                .filter(|row| self.is_heard_watcher(&row.name, now));
+            targets.extend(watchers.map(|row| row.peer));
+            targets.push(rows[turn % rows.len()].peer);
+        }
+        targets
     }
 
     /// The hosts that may count the tokens of a workspace, best first.
@@ -340,3 +492,8 @@
             .collect()
     }
 }
+
+/// Whether `first` goes before `second` as a watcher.
+fn is_better_watcher(first: &str, second: &str) -> bool {
+    rendezvous_order(WATCHER_ORDER, [first, second])[0] == first
+}
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -3,8 +3,10 @@
 mod active_window;
 mod copy_source;
 mod evidence;
+mod host_row;
 mod host_table;
 mod lapse_rule;
+mod peer_report;
 mod pool_settings;
 mod read_timer;
 mod retry_allowance;
@@ -13,13 +15,16 @@
 mod split_turn;
 mod table_copy;
 mod token_ledger;
+mod zone_list;
 
 pub use self::{
     active_window::ActiveWindow,
     copy_source::CopySource,
     evidence::{EvidenceSettings, OutcomeChances, ServerEvidence},
-    host_table::{HostRow, HostTable, HostTableSettings, PeerReport, PeerSighting},
+    host_row::HostRow,
+    host_table::{HostTable, HostTableSettings},
     lapse_rule::{LapseRule, LapseSettings},
+    peer_report::{PeerReport, PeerSighting},
     pool_settings::PoolSettings,
     read_timer::{ReadState, ReadTimer},
     retry_allowance::{AllowanceSettings, RetryAllowance},
@@ -30,4 +35,5 @@
     split_turn::SplitTurn,
     table_copy::{CopyDelta, CopyRow, TableCopy},
     token_ledger::{LedgerAsk, LedgerSettings, TokenLedger, TokenVerdict},
+    zone_list::ZoneList,
 };
