Send a request that reached no server on without the retry budget

Cause: a send without a connection counted as the first send of a request, so that the next one, the first that could arrive anywhere, needed a repeat.

Change: only sends that arrived, or may have, count.

--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -45,6 +45,9 @@
 /// server, so that failures that come anyhow can be repeated.
 const TEST_ROOM: f64 = 0.4;
 
+/// The reason in logs and counters of a send that made no connection.
+const UNREACHABLE: &str = "unreachable";
+
 /// Time for the last answer to reach the caller before its deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
@@ -54,6 +57,9 @@
     request: &'a ForwardRequest,
     planned: &'a PlannedRequest<'a>,
     tried: Vec<ServerKey>,
+    /// Servers that the request reached, or may have; what goes to further
+    /// ones is taken from the retry budget.
+    arrivals: u32,
     /// Servers that ran the request, or may have.
     runs: u32,
 }
@@ -62,6 +68,8 @@
 enum SendEnd {
     /// An answer for the caller.
     Answer(Box<ServerAnswer>),
+    /// The request did not reach the server.
+    Unsent,
     /// The server did not run the request.
     NotRun(&'static str),
     /// The server may have run it, and gave an answer of no use or none.
@@ -79,6 +87,7 @@
             request,
             planned,
             tried: Vec::new(),
+            arrivals: 0,
             runs: 0,
         }
     }
@@ -94,8 +103,7 @@
                     return self.give_up(last, after);
                 }
             };
-            let is_repeat = !self.tried.is_empty();
-            if is_repeat && !self.take_repeat() {
+            if self.arrivals > 0 && !self.take_repeat() {
                 story.detail = "retry budget";
                 return self.give_up(last, COME_BACK);
             }
@@ -106,9 +114,14 @@
             let is_over = Instant::now() + ANSWER_MARGIN >= self.planned.deadline;
             match end {
                 SendEnd::Answer(answer) => return Ok(self.pass(*answer)),
-                SendEnd::NotRun(what) => story.detail = what,
+                SendEnd::Unsent => story.detail = UNREACHABLE,
+                SendEnd::NotRun(what) => {
+                    story.detail = what;
+                    self.arrivals += 1;
+                }
                 SendEnd::MayHaveRun(what, answer) => {
                     story.detail = what;
+                    self.arrivals += 1;
                     self.runs += 1;
                     last = answer.or(last);
                 }
@@ -248,15 +261,24 @@
             return end;
         };
         self.tried.push(second_key);
-        match (end, second_end) {
+        self.join_ends(end, second_end)
+    }
+
+    /// What two sends of the request at once mean for it.
+    fn join_ends(&mut self, first: SendEnd, second: SendEnd) -> SendEnd {
+        match (first, second) {
             (SendEnd::Answer(answer), _) | (_, SendEnd::Answer(answer)) => SendEnd::Answer(answer),
+            (SendEnd::Unsent, end) | (end, SendEnd::Unsent) => end,
             (SendEnd::MayHaveRun(_, first), SendEnd::MayHaveRun(what, second)) => {
+                self.arrivals += 1;
                 self.runs += 1;
                 SendEnd::MayHaveRun(what, second.or(first))
             }
             // What one of the two may have run was not refused.
-            (end @ SendEnd::MayHaveRun(..), SendEnd::NotRun(_)) => end,
-            (SendEnd::NotRun(_), end) => end,
+            (end @ SendEnd::MayHaveRun(..), SendEnd::NotRun(_)) | (SendEnd::NotRun(_), end) => {
+                self.arrivals += 1;
+                end
+            }
         }
     }
 
@@ -289,7 +311,7 @@
         };
         let other_end = match end {
             SendEnd::Answer(_) => SendEnd::NotRun("broken off"),
-            SendEnd::MayHaveRun(..) | SendEnd::NotRun(_) => other.await,
+            SendEnd::MayHaveRun(..) | SendEnd::NotRun(_) | SendEnd::Unsent => other.await,
         };
         (end, Some((second_key, other_end)))
     }
@@ -331,7 +353,7 @@
         let answer = match end {
             AttemptEnd::Unsent(err) => {
                 self.log_unsent(&err);
-                return (ServerSignal::Unreachable, SendEnd::NotRun("unreachable"));
+                return (ServerSignal::Unreachable, SendEnd::Unsent);
             }
             AttemptEnd::Lost(what) => {
                 let end = SendEnd::MayHaveRun(what.as_str(), None);
--- a/crates/mangostep/tests/entry.rs
+++ b/crates/mangostep/tests/entry.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use scene::{BackMood, Scene};
+use scene::{BackMood, Scene, SceneBounds};
 
 /// Within it a change must be in force, by the operators' agreement.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -82,6 +82,29 @@
     scene.close().await;
 }
 
+/// Many servers cannot be reached, and the retry budget is empty: what did not
+/// arrive anywhere needs none.
+#[tokio::test]
+async fn a_request_that_reached_no_server_is_sent_on_without_the_retry_budget() {
+    let bounds = SceneBounds {
+        retry_slack: 0.0,
+        retry_ratio: 0.0,
+    };
+    let scene = Scene::open_with(bounds).await;
+    for port in 1..=4 {
+        // Nothing listens on these ports of a loopback number of their own.
+        let address = ([127, 200, 0, 1], port).into();
+        scene.write_entry(&format!("closed-{port}"), address, "ready");
+    }
+    tokio::time::sleep(IN_FORCE).await;
+    for number in 0..12 {
+        let id = format!("r{number}");
+        let booking = scene.ask("POST", "/book/1", &id, "north-key").await;
+        assert_eq!((booking.status, scene.runs(&id).len()), (200, 1));
+    }
+    scene.close().await;
+}
+
 #[tokio::test]
 async fn a_refusal_of_a_server_that_ran_the_booking_is_not_passed_on() {
     let scene = Scene::open().await;
--- a/crates/mangostep/tests/entry/scene.rs
+++ b/crates/mangostep/tests/entry/scene.rs
@@ -229,15 +229,38 @@
     _folder: tempfile::TempDir,
 }
 
+/// What a scene's operators agreed on.
+#[derive(Clone, Copy, Debug)]
+pub struct SceneBounds {
+    /// Repeats allowed besides those for each request.
+    pub retry_slack: f64,
+    pub retry_ratio: f64,
+}
+
+impl Default for SceneBounds {
+    fn default() -> Self {
+        SceneBounds {
+            retry_slack: 60.0,
+            retry_ratio: 0.2,
+        }
+    }
+}
+
 impl Scene {
     pub async fn open() -> Self {
+        Self::open_with(SceneBounds::default()).await
+    }
+
+    pub async fn open_with(bounds: SceneBounds) -> Self {
         let (store, store_address) = TableStandIn::open().await.expect("a port is free");
         let backs = Backs::default();
         let addresses = vec![backs.open(0).await, backs.open(1).await];
         let ports = host_addresses();
         let mut settings = serde_json::json!({
             "host": "h1", "zone": "a", "region": "home", "zones": { "a": "home" },
-            "store": store_address.to_string(), "bounds": { "stop_grace_s": 2.0 },
+            "store": store_address.to_string(),
+            "bounds": { "stop_grace_s": 2.0, "retry_slack": bounds.retry_slack,
+                "retry_ratio": bounds.retry_ratio },
         });
         for (name, address) in &ports {
             settings[*name] = address.to_string().into();
@@ -270,13 +293,17 @@
 
     /// Writes the entry of a backend server.
     pub fn write_server(&self, index: usize, state: &str) {
+        self.write_entry(&format!("i-{index}"), self.addresses[index], state);
+    }
+
+    /// Writes the entry of a backend server at an address.
+    pub fn write_entry(&self, key: &str, address: SocketAddr, state: &str) {
         let entry = serde_json::json!({
-            "service": "ledger", "address": self.addresses[index].to_string(), "zone": "a",
+            "service": "ledger", "address": address.to_string(), "zone": "a",
             "version": "v1", "slots": 4, "state": state, "warmupLeftS": 0, "born": 1,
         });
-        let key = format!("i-{index}");
         self.store
-            .put("servers", &key, Some(entry.to_string().as_bytes()));
+            .put("servers", key, Some(entry.to_string().as_bytes()));
     }
 
     /// Writes a configuration in which `north` has one key.
