Explore silent servers by the need of the service

Change: three failures and 8 in 100 requests are needed; refusals count as well; lookups without room in the budget no longer hold the others back; suspected servers are tested within 1.9 s while many requests fail.

--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -160,7 +160,11 @@
         .allowance
         .borrow_mut()
         .note_request(service, clock::now());
-    Sending::open(context, request, planned).run(story).await
+    let answer = Sending::open(context, request, planned).run(story).await;
+    let is_served = matches!(&answer, Ok(answer) if !answer.status.is_server_error());
+    let mut pool = context.pool.borrow_mut();
+    pool.note_ended(service, is_served, clock::now());
+    answer
 }
 
 fn log_end(
--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -172,7 +172,7 @@
             sees_others: hosts.sees_others(now),
             may_repeat: self.runs == 0 && room > TEST_ROOM,
         };
-        if is_idempotent(self.planned) {
+        if is_idempotent(self.planned) && ask.may_repeat {
             let mut pool = self.context.pool.borrow_mut();
             pool.note_repeatable(&service.name, now);
         }
@@ -236,11 +236,6 @@
             let mut pool = self.context.pool.borrow_mut();
             pool.note_length(&planned.service.name, started.elapsed());
         }
-        if !is_idempotent(planned) {
-            let is_served = signal == ServerSignal::Success;
-            let mut pool = self.context.pool.borrow_mut();
-            pool.note_ended(&planned.service.name, is_served, clock::now());
-        }
         running.close(signal);
         end
     }
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -41,12 +41,18 @@
     /// gets a request, also one that may run only once where no others come.
     /// Sound servers must not stay without requests for two seconds.
     pub explore_pause: Duration,
+    /// The same where requests that may be repeated look after such servers,
+    /// or where the server most likely fails still.
+    pub late_explore_pause: Duration,
     /// Share of failed requests above which that is done: in calm times the
-    /// risk is not worth it.
-    pub explore_failures: f64,
+    /// risk is not worth it. Below the tenth of failed requests from which on
+    /// operators ask for it.
+    pub explore_share: f64,
+    /// Fewest failed requests of a host for it; fewer say little of a share.
+    pub explore_failures: u32,
     /// Time over which failed requests are counted for it.
     pub explore_span: Duration,
-    /// Belief in a failing spell above which a server is explored less often.
+    /// Belief in a failing spell above which a server most likely fails still.
     pub explore_belief: f64,
     /// Gain of showing whether a server of which nothing was heard for long
     /// is sound, for requests that may be sent again.
@@ -79,7 +85,9 @@
             shed_pause: Duration::from_millis(300),
             shed_cost: Duration::from_millis(500),
             explore_pause: Duration::from_millis(1_300),
-            explore_failures: 0.06,
+            late_explore_pause: Duration::from_millis(1_900),
+            explore_share: 0.08,
+            explore_failures: 3,
             explore_span: Duration::from_secs(3),
             explore_belief: 0.65,
             verify_cost: Duration::from_millis(60),
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -150,7 +150,7 @@
     hosts: usize,
 }
 
-/// Outcomes of this host's requests for one service that run at most once.
+/// Ends of this host's requests for one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceOutcomes {
     all: ActiveWindow,
@@ -171,9 +171,6 @@
 /// Failures in a row beyond which the pauses between tests grow no more.
 const TEST_STREAK_MAX: u32 = 5;
 
-/// Times the pause before a server that most likely still fails is explored.
-const SUSPECT_EXPLORE_FACTOR: u32 = 2;
-
 /// Times the pause where a test would hang rather than fail at once.
 const STALL_TEST_FACTOR: u32 = 2;
 
@@ -430,8 +427,7 @@
         }
     }
 
-    /// Takes note of a request that runs at most once and ended at a server of
-    /// a service.
+    /// Takes note of a request for a service that ended on this host.
     pub fn note_ended(&mut self, service: &str, is_served: bool, now: MonotonicTime) {
         if !self.outcomes.contains_key(service) {
             let outcomes = ServiceOutcomes::default();
@@ -445,12 +441,15 @@
         }
     }
 
-    /// Share of a service's requests that failed for good on this host.
-    fn failed_share(&self, service: &str, now: MonotonicTime) -> f64 {
-        let span = self.settings.explore_span;
-        self.outcomes.get(service).map_or(0.0, |outcomes| {
-            let all = outcomes.all.count_at(now, span).max(1);
-            f64::from(outcomes.failed.count_at(now, span)) / f64::from(all)
+    /// Whether so many of a service's requests fail for good on this host that
+    /// servers of which nothing was heard are explored.
+    fn fails_often(&self, service: &str, now: MonotonicTime) -> bool {
+        let settings = &self.settings;
+        let span = settings.explore_span;
+        self.outcomes.get(service).is_some_and(|outcomes| {
+            let all = f64::from(outcomes.all.count_at(now, span));
+            let failed = outcomes.failed.count_at(now, span);
+            failed >= settings.explore_failures && f64::from(failed) > all * settings.explore_share
         })
     }
 
@@ -549,31 +548,33 @@
     }
 
     /// Whether nothing was heard of a server for so long that a request which
-    /// may run only once explores it, for lack of others.
+    /// may run only once explores it. Requests that may be repeated go first.
     fn is_exploration_due(&self, record: &ServerRecord, service: &str, now: MonotonicTime) -> bool {
         let settings = &self.settings;
-        if self.failed_share(service, now) <= settings.explore_failures
-            || record.running(settings.peer_load_span, now) > 0
-        {
+        if !self.fails_often(service, now) || record.running(settings.peer_load_span, now) > 0 {
             return false;
         }
         let shared = record.evidence.belief(&settings.evidence, now);
         let own = record.own_path.belief(&settings.own_path, now);
-        let pause = match shared.max(own) > settings.explore_belief {
-            true => settings.explore_pause * SUSPECT_EXPLORE_FACTOR,
-            false => settings.explore_pause,
+        let is_suspect = shared.max(own) > settings.explore_belief;
+        let last_repeatable = self.repeatable.get(service);
+        let has_repeatable =
+            last_repeatable.is_some_and(|at| now.since(*at) < settings.explore_pause);
+        let pause = match (is_suspect, has_repeatable) {
+            (true, true) => return false,
+            (false, false) => settings.explore_pause,
+            (true, false) | (false, true) => settings.late_explore_pause,
         };
-        let is_long = |last: Option<MonotonicTime>| last.is_none_or(|at| now.since(at) >= pause);
         let last = record
             .evidence
             .last_outcome()
             .max(record.own_path.last_outcome());
-        is_long(last) && is_long(self.repeatable.get(service).copied())
+        last.is_none_or(|at| now.since(at) >= pause)
     }
 
     /// Whether a suspected server may be tested: the longer it fails, the
     /// longer the pauses.
-    fn is_test_due(&self, record: &ServerRecord, now: MonotonicTime) -> bool {
+    fn is_test_due(&self, record: &ServerRecord, service: &str, now: MonotonicTime) -> bool {
         let evidence = &record.evidence;
         let own = &record.own_path;
         let streak = evidence
@@ -586,7 +587,11 @@
         };
         let last = evidence.last_outcome().max(own.last_outcome());
         let running = record.running(self.settings.peer_load_span, now);
-        running == 0 && last.is_none_or(|at| now.since(at) >= self.settings.test_pause * factor)
+        let pause = match self.fails_often(service, now) {
+            true => (self.settings.test_pause * factor).min(self.settings.late_explore_pause),
+            false => self.settings.test_pause * factor,
+        };
+        running == 0 && last.is_none_or(|at| now.since(at) >= pause)
     }
 
     /// Whether a cold server had less than it bears in the last second.
@@ -676,7 +681,7 @@
         if chance > settings.suspected_chance {
             // A request that may be repeated tells whether the server is
             // sound again.
-            return match self.is_test_due(record, now) {
+            return match self.is_test_due(record, ask.service, now) {
                 true => cost - repeat_cost,
                 false => cost + chance * settings.lost_cost.as_secs_f64(),
             };
--- a/crates/mangostep-policy/tests/dispatch/failing_spells.rs
+++ b/crates/mangostep-policy/tests/dispatch/failing_spells.rs
@@ -127,6 +127,50 @@
     assert!(gets > 0, "the server got nothing for four seconds");
 }
 
+/// Refunds run once and are few: two that failed say nothing of a service.
+#[test]
+fn two_failures_among_few_requests_explore_nothing() {
+    let mut pool = pool_of(6);
+    let mut random = SmallRng::seed_from_u64(11);
+    let sound = pool.find("s0").expect("known");
+    pool.note_ended("ledger", false, at_ms(0));
+    pool.note_ended("ledger", false, at_ms(10));
+    for step in 0..20 {
+        let now = at_ms(100 * step);
+        pool.note_own(sound, ServerSignal::Success, now, now);
+        pool.note_ended("ledger", true, now);
+        let key = pick(&pool, RequestKind::NonIdempotent, &mut random, now);
+        assert_eq!(key, sound);
+    }
+}
+
+/// More than a tenth of the requests fail: suspected servers that nobody tests
+/// count as sound two seconds after their last failure.
+#[test]
+fn suspected_servers_are_tested_within_two_seconds_while_many_requests_fail() {
+    let mut pool = pool_of(3);
+    let mut random = SmallRng::seed_from_u64(12);
+    let suspect = pool.find("s2").expect("known");
+    let others = ["s0", "s1"].map(|id| pool.find(id).expect("known"));
+    for _ in 0..6 {
+        pool.note(suspect, ServerSignal::Failure, at_ms(0), at_ms(0));
+    }
+    let mut tested = None;
+    for step in 1..100 {
+        let now = at_ms(20 * step);
+        for key in others {
+            pool.note_own(key, ServerSignal::Success, now, now);
+        }
+        pool.note_ended("ledger", step % 8 != 0, now);
+        pool.note_repeatable("ledger", now);
+        let key = pick(&pool, RequestKind::Idempotent, &mut random, now);
+        if key == suspect {
+            tested.get_or_insert(20 * step);
+        }
+    }
+    assert!(tested.is_some_and(|at| at <= 2_000), "tested at {tested:?}");
+}
+
 /// A request that was sent before a spell began ends well after its first
 /// reset.
 #[test]
