Tell all hosts which servers refuse connections

Cause: each host found out by itself that servers had ended without a word.

Change: refused connections and misdirected requests are signals of their own that count on all hosts; a connection that times out still counts for the host's own way only. Sends without a connection no longer count toward the five servers that a request may reach.

--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -1,3 +1,5 @@
+use std::io::ErrorKind;
+
 use {
     futures::future::Either,
     http::StatusCode,
@@ -27,8 +29,12 @@
 /// Servers that may run one request where the route sets no bound.
 const ATTEMPTS: u32 = 2;
 
-/// Sends of one request, those that a server turned away included.
-const SENDS_MAX: u32 = 5;
+/// Servers that one request reaches, those that turn it away included.
+const ARRIVALS_MAX: u32 = 5;
+
+/// Sends of one request, those that make no connection included: enough to get
+/// past the servers of a zone that failed a moment ago.
+const SENDS_MAX: u32 = 12;
 
 /// Times the mean length after which a request should have ended; one in a
 /// hundred sound requests takes longer.
@@ -135,6 +141,7 @@
             let may_repeat = !self.request.is_abandoned.get()
                 && !is_over
                 && story.sends < SENDS_MAX
+                && self.arrivals < ARRIVALS_MAX
                 && (self.runs == 0 || (is_idempotent(self.planned) && self.runs < attempts));
             if !may_repeat {
                 return self.give_up(last, COME_BACK);
@@ -348,7 +355,13 @@
         let answer = match end {
             AttemptEnd::Unsent(err) => {
                 self.log_unsent(&err);
-                return (ServerSignal::Unreachable, SendEnd::Unsent);
+                let signal = match err.kind() {
+                    ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
+                        ServerSignal::Refused
+                    }
+                    _ => ServerSignal::Unreachable,
+                };
+                return (signal, SendEnd::Unsent);
             }
             AttemptEnd::Lost(what) => {
                 let end = SendEnd::MayHaveRun(what.as_str(), None);
@@ -360,7 +373,7 @@
         let status = answer.head.status;
         let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         if is_misdirected {
-            return (ServerSignal::Unreachable, SendEnd::NotRun("other server"));
+            return (ServerSignal::Misdirected, SendEnd::NotRun("other server"));
         }
         if answer
             .head
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -104,8 +104,6 @@
     pool.note_peer_running(key, peer_key(from), report.running, now);
     match report.signal {
         None => pool.note_start(key, now),
-        // What one host cannot reach may be sound for the others.
-        Some(ServerSignal::Unreachable) => {}
         Some(signal) => {
             let age = Duration::from_millis(report.age_ms.into());
             pool.note(key, signal, now - age, now);
--- a/crates/mangostep-policy/src/dispatch/evidence.rs
+++ b/crates/mangostep-policy/src/dispatch/evidence.rs
@@ -30,8 +30,13 @@
     pub loss: OutcomeChances,
     /// An error answer, which sound servers give to one request in a hundred.
     pub error: OutcomeChances,
-    /// No answer long after the usual time, or no connection.
+    /// No answer long after the usual time, or no connection in time.
     pub stall: OutcomeChances,
+    /// Nothing listens at the address; a sound server resets connections
+    /// beyond its bound.
+    pub refused: OutcomeChances,
+    /// Another server listens at the address.
+    pub misdirected: OutcomeChances,
 }
 
 impl Default for EvidenceSettings {
@@ -57,6 +62,14 @@
                 failing: 0.4,
                 sound: 0.02,
             },
+            refused: OutcomeChances {
+                failing: 0.5,
+                sound: 0.004,
+            },
+            misdirected: OutcomeChances {
+                failing: 0.5,
+                sound: 0.0005,
+            },
         }
     }
 }
@@ -87,6 +100,14 @@
                 failing: 0.95,
                 sound: 0.01,
             },
+            refused: OutcomeChances {
+                failing: 0.95,
+                sound: 0.1,
+            },
+            misdirected: OutcomeChances {
+                failing: 1.0,
+                sound: 1.0,
+            },
         }
     }
 
@@ -96,6 +117,8 @@
             ServerSignal::Failure => Some(self.loss),
             ServerSignal::Error => Some(self.error),
             ServerSignal::Stall | ServerSignal::Unreachable => Some(self.stall),
+            ServerSignal::Refused => Some(self.refused),
+            ServerSignal::Misdirected => Some(self.misdirected),
             ServerSignal::Shed | ServerSignal::Nothing => None,
         }
     }
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -91,8 +91,12 @@
     Stall,
     /// The server turned the request away without running it.
     Shed,
-    /// No connection could be made.
+    /// No connection was made in time, which may be the way of one host.
     Unreachable,
+    /// Nothing listens at the server's address.
+    Refused,
+    /// Another server listens at the server's address.
+    Misdirected,
     /// The caller left, which says nothing of the server.
     Nothing,
 }
@@ -390,14 +394,12 @@
         now: MonotonicTime,
     ) {
         if let Some(record) = self.servers.get_mut(key)
-            && signal != ServerSignal::Error
+            && !matches!(signal, ServerSignal::Error | ServerSignal::Misdirected)
         {
             let settings = &self.settings.own_path;
             record.own_path.note(settings, signal, sent, now);
         }
-        if signal != ServerSignal::Unreachable {
-            self.note(key, signal, sent, now);
-        }
+        self.note(key, signal, sent, now);
     }
 
     /// Takes note of what an attempt of any host showed of a server. Its
@@ -415,8 +417,11 @@
         if signal == ServerSignal::Shed {
             record.full_until = now + self.settings.shed_pause;
         }
-        let settings = &self.settings.evidence;
-        record.evidence.note(settings, signal, sent, now);
+        // What one host cannot reach may be sound for the others.
+        if signal != ServerSignal::Unreachable {
+            let settings = &self.settings.evidence;
+            record.evidence.note(settings, signal, sent, now);
+        }
     }
 
     /// Takes note that a service has a request that may be repeated.
--- a/crates/mangostep-policy/tests/dispatch/failing_spells.rs
+++ b/crates/mangostep-policy/tests/dispatch/failing_spells.rs
@@ -227,6 +227,30 @@
     }
 }
 
+/// The servers of a zone ended without a word: each host need not find out by
+/// itself, and another server at an address says more than a reset.
+#[test]
+fn refused_connections_count_for_all_hosts() {
+    let mut pool = pool_of(4);
+    let [refusing, misdirecting, silent, sound] =
+        ["s0", "s1", "s2", "s3"].map(|id| pool.find(id).expect("known"));
+    for key in [refusing, misdirecting, silent, sound] {
+        (0..5).for_each(|_| pool.note(key, ServerSignal::Success, at_ms(0), at_ms(100)));
+    }
+    let before = pool.chance(silent, at_ms(200));
+    pool.note(refusing, ServerSignal::Refused, at_ms(200), at_ms(200));
+    pool.note(
+        misdirecting,
+        ServerSignal::Misdirected,
+        at_ms(200),
+        at_ms(200),
+    );
+    pool.note(silent, ServerSignal::Unreachable, at_ms(200), at_ms(200));
+    assert!(pool.chance(refusing, at_ms(200)) > 5.0 * pool.chance(sound, at_ms(200)));
+    assert!(pool.chance(misdirecting, at_ms(200)) > pool.chance(refusing, at_ms(200)));
+    assert_eq!(pool.chance(silent, at_ms(200)), before);
+}
+
 /// All servers turn half of their requests away for a while.
 #[test]
 fn servers_that_turn_requests_away_are_not_shut_out() {
