Tell starts and ends of requests to the zones that they concern

Cause: what ran at a full server, or at one of another zone, went to the hosts of all zones, as did each request that a server turned away: 30 datagrams each.

Change: hosts of the own zone, those of the server's zone too where that is another one, and all hosts only for cold servers and failures.

--- a/crates/mangostep-entry/src/forward/running.rs
+++ b/crates/mangostep-entry/src/forward/running.rs
@@ -1,6 +1,6 @@
 use std::cell::Cell;
 
-use mangostep_policy::{ServerKey, ServerSignal};
+use mangostep_policy::{ServerKey, ServerSignal, SignalReach};
 
 use crate::{clock, peers, prelude::*};
 
@@ -10,8 +10,8 @@
     context: Rc<HostContext>,
     key: ServerKey,
     sent: MonotonicTime,
-    /// Whether hosts of all zones learn of it.
-    is_wide: bool,
+    /// The hosts that learn of it.
+    reach: SignalReach,
     /// Whether it took too long, which was told then.
     has_stalled: Cell<bool>,
     is_told: bool,
@@ -22,14 +22,14 @@
         let now = clock::now();
         let mut pool = context.pool.borrow_mut();
         pool.start(key, now);
-        let is_wide = pool.concerns_all(key, &context.settings.zone, now);
+        let reach = pool.reach(key, &context.settings.zone, now);
         drop(pool);
-        peers::tell_signal(context, key, None, now, is_wide);
+        peers::tell_signal(context, key, None, now, reach);
         RunningRequest {
             context: Rc::clone(context),
             key,
             sent: now,
-            is_wide,
+            reach,
             has_stalled: Cell::new(false),
             is_told: false,
         }
@@ -43,7 +43,7 @@
         pool.note_own(self.key, ServerSignal::Stall, self.sent, now);
         drop(pool);
         let signal = Some(ServerSignal::Stall);
-        peers::tell_signal(&self.context, self.key, signal, self.sent, true);
+        peers::tell_signal(&self.context, self.key, signal, self.sent, self.reach);
     }
 
     /// Ends the request with what it showed of the server.
@@ -62,13 +62,7 @@
         pool.finish(self.key);
         pool.note_own(self.key, signal, self.sent, clock::now());
         drop(pool);
-        peers::tell_signal(
-            &self.context,
-            self.key,
-            Some(signal),
-            self.sent,
-            self.is_wide,
-        );
+        peers::tell_signal(&self.context, self.key, Some(signal), self.sent, self.reach);
     }
 }
 
--- a/crates/mangostep-entry/src/peers/signals.rs
+++ b/crates/mangostep-entry/src/peers/signals.rs
@@ -1,6 +1,6 @@
 use std::borrow::Cow;
 
-use mangostep_policy::{ServerKey, ServerSignal};
+use mangostep_policy::{ServerKey, ServerSignal, SignalReach};
 
 use crate::{
     clock,
@@ -11,15 +11,14 @@
 /// Tells other hosts what this one has running at a server, and what a request
 /// that was sent there at `sent` showed.
 ///
-/// Starts and successes go to hosts of the own zone that send requests, who
-/// mostly use the same servers. Failures, and what is told widely, go to all
-/// hosts that send requests.
+/// Starts and successes go as far as `reach`, failures to all hosts that send
+/// requests.
 pub(crate) fn tell_signal(
     context: &HostContext,
     key: ServerKey,
     signal: Option<ServerSignal>,
     sent: MonotonicTime,
-    is_wide: bool,
+    reach: SignalReach,
 ) {
     let now = clock::now();
     let pool = context.pool.borrow();
@@ -36,9 +35,11 @@
     let bytes = encode(&PeerMessage::Signal(report));
     let is_failure = signal.is_some_and(ServerSignal::is_failure);
     let hosts = context.hosts.borrow();
-    let observers = match is_failure || is_wide {
-        true => hosts.observers(now),
-        false => hosts.near_observers(now),
+    let observers = match reach {
+        _ if is_failure => hosts.observers(now),
+        SignalReach::AllZones => hosts.observers(now),
+        SignalReach::BothZones => hosts.pair_observers(&entry.zone, now),
+        SignalReach::OwnZone => hosts.near_observers(now),
     };
     for to in observers {
         context.peers.send(&bytes, to);
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -426,6 +426,15 @@
         self.peers_of(list.into_iter())
     }
 
+    /// The same, and those of one other zone.
+    pub fn pair_observers(&self, zone: &str, now: MonotonicTime) -> Vec<SocketAddr> {
+        let zones = [zone, &self.own.zone];
+        self.peers_of(
+            self.lists(now)
+                .filter(|list| zones.contains(&list.zone.as_str())),
+        )
+    }
+
     /// Hosts that should learn of a failure: all those that send requests.
     pub fn observers(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         self.peers_of(self.lists(now))
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -31,6 +31,7 @@
     server_entry::ServerEntry,
     server_pool::{
         ChoiceAsk, ChoiceRefusal, PeerKey, ServerChoice, ServerKey, ServerPool, ServerSignal,
+        SignalReach,
     },
     split_turn::SplitTurn,
     table_copy::{CopyDelta, CopyRow, TableCopy},
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -104,10 +104,24 @@
 impl ServerSignal {
     /// Whether the signal speaks against the server.
     pub fn is_failure(self) -> bool {
-        !matches!(self, ServerSignal::Success | ServerSignal::Nothing)
+        !matches!(
+            self,
+            ServerSignal::Success | ServerSignal::Shed | ServerSignal::Nothing
+        )
     }
 }
 
+/// Which hosts learn of a request at a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SignalReach {
+    /// Those of the zone of the host, who mostly use the same servers.
+    OwnZone,
+    /// Those of the zone of the server as well.
+    BothZones,
+    /// Those of all zones, for a cold server bears little from all of them.
+    AllZones,
+}
+
 #[derive(Clone, Debug)]
 struct ServerRecord {
     entry: ServerEntry,
@@ -348,13 +362,13 @@
         }
     }
 
-    /// Whether hosts of all zones should learn what runs at a server: it is
-    /// cold, full, or in another zone than this host.
-    pub fn concerns_all(&self, key: ServerKey, zone: &str, now: MonotonicTime) -> bool {
-        self.servers.get(key).is_some_and(|record| {
-            let running = record.running(self.settings.peer_load_span, now);
-            record.entry.zone != zone || record.cold_until > now || running >= record.entry.slots
-        })
+    /// Which hosts should learn what a host of `zone` has running at a server.
+    pub fn reach(&self, key: ServerKey, zone: &str, now: MonotonicTime) -> SignalReach {
+        match self.servers.get(key) {
+            Some(record) if record.cold_until > now => SignalReach::AllZones,
+            Some(record) if record.entry.zone != zone => SignalReach::BothZones,
+            _ => SignalReach::OwnZone,
+        }
     }
 
     /// Takes note of the end of a request that [`ServerPool::start`] counted.
--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -54,7 +54,8 @@
         EvidenceSettings, HostRow, HostTable, HostTableSettings, LapseRule, LapseSettings,
         LedgerAsk, LedgerSettings, OutcomeChances, PeerKey, PeerReport, PeerSighting, PoolSettings,
         ReadState, ReadTimer, RetryAllowance, ServerChoice, ServerEntry, ServerEvidence, ServerKey,
-        ServerPool, ServerSignal, SplitTurn, TableCopy, TokenLedger, TokenVerdict, ZoneList,
+        ServerPool, ServerSignal, SignalReach, SplitTurn, TableCopy, TokenLedger, TokenVerdict,
+        ZoneList,
     },
     lease::{
         Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
