Count no failures at explored servers toward exploration

Change: failures that were to be expected (chance 0.12 or more) do not count.

The test fails without the change (more than two requests risked).

--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -163,7 +163,7 @@
     let answer = Sending::open(context, request, planned).run(story).await;
     let is_served = matches!(&answer, Ok(answer) if !answer.status.is_server_error());
     let mut pool = context.pool.borrow_mut();
-    pool.note_ended(service, is_served, clock::now());
+    pool.note_ended(service, is_served, story.chance, clock::now());
     answer
 }
 
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -53,6 +53,9 @@
     pub explore_share: f64,
     /// Fewest failed requests of a host for it; fewer say little of a share.
     pub explore_failures: u32,
+    /// Chance of a failure from which on one was to be expected: below that of
+    /// a server of which nothing is known.
+    pub risky_chance: f64,
     /// Time over which failed requests are counted for it.
     pub explore_span: Duration,
     /// Belief in a failing spell above which a server most likely fails still.
@@ -92,6 +95,7 @@
             suspect_explore_pause: Duration::from_millis(3_500),
             explore_share: 0.08,
             explore_failures: 3,
+            risky_chance: 0.12,
             explore_span: Duration::from_secs(3),
             explore_belief: 0.65,
             verify_cost: Duration::from_millis(60),
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -447,7 +447,14 @@
     }
 
     /// Takes note of a request for a service that ended on this host.
-    pub fn note_ended(&mut self, service: &str, is_served: bool, now: MonotonicTime) {
+    ///
+    /// `chance` is that of a failure when its last server was chosen. Failures
+    /// at servers that were explored say nothing of the others: counted, they
+    /// would keep the exploration going.
+    pub fn note_ended(&mut self, service: &str, is_served: bool, chance: f64, now: MonotonicTime) {
+        if !is_served && chance >= self.settings.risky_chance {
+            return;
+        }
         if !self.outcomes.contains_key(service) {
             let outcomes = ServiceOutcomes::default();
             self.outcomes.insert(service.to_owned(), outcomes);
--- a/crates/mangostep-policy/tests/dispatch/failing_spells.rs
+++ b/crates/mangostep-policy/tests/dispatch/failing_spells.rs
@@ -66,7 +66,7 @@
         if kind == RequestKind::NonIdempotent {
             once += 1.0;
             lost += f64::from(u8::from(fails));
-            pool.note_ended("ledger", !fails, now);
+            pool.note_ended("ledger", !fails, 0.02, now);
         }
     }
     (lost / once, to_failing)
@@ -121,7 +121,7 @@
         let key = pick(&pool, RequestKind::NonIdempotent, &mut random, now);
         let is_served = step % 8 != 0;
         pool.note_own(key, ServerSignal::Success, now, now);
-        pool.note_ended("ledger", is_served, now);
+        pool.note_ended("ledger", is_served, 0.02, now);
         gets += u32::from(key == quiet);
     }
     assert!(gets > 0, "the server got nothing for four seconds");
@@ -133,17 +133,45 @@
     let mut pool = pool_of(6);
     let mut random = SmallRng::seed_from_u64(11);
     let sound = pool.find("s0").expect("known");
-    pool.note_ended("ledger", false, at_ms(0));
-    pool.note_ended("ledger", false, at_ms(10));
+    pool.note_ended("ledger", false, 0.02, at_ms(0));
+    pool.note_ended("ledger", false, 0.02, at_ms(10));
     for step in 0..20 {
         let now = at_ms(100 * step);
         pool.note_own(sound, ServerSignal::Success, now, now);
-        pool.note_ended("ledger", true, now);
+        pool.note_ended("ledger", true, 0.02, now);
         let key = pick(&pool, RequestKind::NonIdempotent, &mut random, now);
         assert_eq!(key, sound);
     }
 }
 
+/// A host that starts sends its first requests to servers in failing spells.
+#[test]
+fn failures_at_explored_servers_do_not_keep_the_exploration_going() {
+    let mut pool = pool_of(12);
+    let mut random = SmallRng::seed_from_u64(13);
+    let sound = pool.find("s0").expect("known");
+    for failing in ["s1", "s2", "s3", "s4"] {
+        let key = pool.find(failing).expect("known");
+        let chance = pool.chance(key, at_ms(0));
+        pool.note_own(key, ServerSignal::Failure, at_ms(0), at_ms(0));
+        pool.note_ended("ledger", false, chance, at_ms(0));
+    }
+    let mut explored = 0;
+    for step in 0..40 {
+        let now = at_ms(50 * step);
+        pool.note(sound, ServerSignal::Success, now, now);
+        let key = pick(&pool, RequestKind::NonIdempotent, &mut random, now);
+        let chance = pool.chance(key, now);
+        let is_served = key == sound;
+        if !is_served {
+            explored += 1;
+            pool.note_own(key, ServerSignal::Failure, now, now);
+        }
+        pool.note_ended("ledger", is_served, chance, now);
+    }
+    assert!(explored <= 2, "{explored} requests were risked");
+}
+
 /// More than a tenth of the requests fail: suspected servers that nobody tests
 /// count as sound two seconds after their last failure.
 #[test]
@@ -161,7 +189,7 @@
         for key in others {
             pool.note_own(key, ServerSignal::Success, now, now);
         }
-        pool.note_ended("ledger", step % 8 != 0, now);
+        pool.note_ended("ledger", step % 8 != 0, 0.02, now);
         pool.note_repeatable("ledger", now);
         let key = pick(&pool, RequestKind::Idempotent, &mut random, now);
         if key == suspect {
