Take no request late in a planned stop that its end would cut

Cause: a stopping host took requests until 0.7 s before the end of its grace. Requests that come more than three seconds after the signal must not be cut.

Ruled out: closing the listener sooner, since callers that keep a look-up's answer for six seconds would find no connection; a deadline of the host's own, since its answer would stand in for the server's work.

Change: after 2.9 s, or half of a shorter grace, a request is served if its deadline ends before the process does, else refused as not run with a Retry-After of 50 ms.

The test failed first (200 instead of 503).

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -12,6 +12,7 @@
     mangostep_telemetry::HostCounters,
     rand::{SeedableRng, rngs::SmallRng},
     slog::Logger,
+    tokio::time::Instant,
 };
 
 use crate::{
@@ -38,6 +39,8 @@
     pub(crate) backs: BackPools,
     pub(crate) peers: PeerPort,
     pub(crate) phase: Cell<HostPhase>,
+    /// The times of a planned stop, once it began.
+    pub(crate) stop: Cell<Option<StopTimes>>,
     /// Bytes of bodies that are held for requests under way.
     pub(crate) held_bytes: Cell<u64>,
     /// Whether the last call to the store failed.
@@ -59,6 +62,23 @@
     Closing,
 }
 
+/// The times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StopTimes {
+    /// Until then every request is served.
+    pub(crate) serves_all_until: Instant,
+    /// By then all requests have ended.
+    pub(crate) end: Instant,
+}
+
+impl StopTimes {
+    /// Whether a request that comes now and ends by its deadline may be
+    /// served: it must not be broken off by the end of the process.
+    pub(crate) fn allows(&self, deadline: Instant) -> bool {
+        Instant::now() < self.serves_all_until || deadline < self.end
+    }
+}
+
 /// The copies of the followed tables, with digests to compare with those of
 /// other hosts.
 #[derive(Default)]
--- a/crates/mangostep-entry/src/forward/refusal.rs
+++ b/crates/mangostep-entry/src/forward/refusal.rs
@@ -28,6 +28,8 @@
     NoRoom(Duration),
     /// This host knows no configuration yet; not run.
     NotReady,
+    /// This host ends before the request would; not run.
+    Leaving,
     /// A backend server failed; it may have run.
     Failed,
     /// No answer came in time; it may have run.
@@ -41,7 +43,9 @@
             Refusal::BadKey => StatusCode::UNAUTHORIZED,
             Refusal::NotGranted => StatusCode::FORBIDDEN,
             Refusal::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
-            Refusal::NoRoom(_) | Refusal::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NoRoom(_) | Refusal::NotReady | Refusal::Leaving => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Refusal::Failed => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -56,6 +60,7 @@
             Refusal::OverRate(_) => "over-rate",
             Refusal::NoRoom(_) => "no-room",
             Refusal::NotReady => "not-ready",
+            Refusal::Leaving => "leaving",
             Refusal::Failed => "failed",
             Refusal::TimedOut => "timed-out",
         }
@@ -67,6 +72,8 @@
             Refusal::OverRate(after) | Refusal::NoRoom(after) => Some(after),
             // A host that starts knows enough within half a second.
             Refusal::NotReady => Some(Duration::from_millis(300)),
+            // Other hosts have room.
+            Refusal::Leaving => Some(Duration::from_millis(50)),
             _ => None,
         };
         if let Some(after) = retry_after {
--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -147,15 +147,22 @@
     planned: &PlannedRequest<'_>,
     story: &mut RequestStory,
 ) -> Result<FrontAnswer, Refusal> {
+    let stop = context.stop.get();
+    if stop.is_some_and(|stop| !stop.allows(planned.deadline)) {
+        return Err(Refusal::Leaving);
+    }
+    let service = &planned.service.name;
     if let Some(name) = planned.workspace
         && let Some(limit) = snapshot.limit_of(name)
     {
         let verdict = peers::ask_token(context, name, limit).await;
         if let TokenVerdict::Denied(after) = verdict {
+            // Whoever counts what a service did not serve counts these too.
+            let mut pool = context.pool.borrow_mut();
+            pool.note_ended(service, false, 0.0, clock::now());
             return Err(Refusal::OverRate(after));
         }
     }
-    let service = &planned.service.name;
     context
         .allowance
         .borrow_mut()
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -20,7 +20,7 @@
 use crate::{
     back::BackPools,
     clock,
-    context::{HostContext, HostPhase, TableStates},
+    context::{HostContext, HostPhase, StopTimes, TableStates},
     follow,
     front::{
         pages::{PageAnswer, serve_pages},
@@ -40,8 +40,15 @@
 /// that those under way end before the process is ended by force.
 const CLOSING_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time before the end of the grace at which the process ends in any case.
-const EXIT_MARGIN: Duration = Duration::from_millis(150);
+/// Time before the end of the grace at which the process ends in any case. A
+/// slow machine of a tenth of a core needs a few hundred milliseconds to end.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time after the signal to stop in which every request is served. Later ones
+/// are served if their deadline ends before the process does: operators allow
+/// only earlier requests to be cut by the end of the grace, after three
+/// seconds.
+const SERVES_ALL: Duration = Duration::from_millis(2_900);
 
 /// Longest time to write log lines at the end.
 const LOG_WAIT: Duration = Duration::from_millis(50);
@@ -151,6 +158,7 @@
         backs: BackPools::open(),
         peers: PeerPort::open(settings.peer).await?,
         phase: Cell::new(HostPhase::Serving),
+        stop: Cell::new(None),
         held_bytes: Cell::new(0),
         held_requests: Cell::new(0),
         store_failed: Cell::new(false),
@@ -248,11 +256,15 @@
     let grace = context.settings.bounds.stop_grace_s;
     let started = tokio::time::Instant::now();
     info!(context.log, "host stopping"; "grace_ms" => grace.as_millis() as u64);
+    let end = started + grace.saturating_sub(EXIT_MARGIN);
+    context.stop.set(Some(StopTimes {
+        serves_all_until: started + SERVES_ALL.min(grace / 2),
+        end,
+    }));
     context.phase.set(HostPhase::Leaving);
     peers::report_once(context, 0);
     tokio::time::sleep_until(started + grace.saturating_sub(CLOSING_MARGIN)).await;
     context.phase.set(HostPhase::Closing);
-    let end = started + grace.saturating_sub(EXIT_MARGIN);
     while tokio::time::Instant::now() < end && context.held_requests.get() > 0 {
         tokio::time::sleep(CLOSE_PAUSE).await;
     }
--- a/crates/mangostep/tests/entry.rs
+++ b/crates/mangostep/tests/entry.rs
@@ -89,6 +89,7 @@
     let bounds = SceneBounds {
         retry_slack: 0.0,
         retry_ratio: 0.0,
+        ..Default::default()
     };
     let scene = Scene::open_with(bounds).await;
     for port in 1..=4 {
@@ -235,3 +236,24 @@
     assert!(late.closes, "the caller is told to go elsewhere");
     scene.close().await;
 }
+
+/// A request comes when the host has less time left than the request.
+#[tokio::test]
+async fn a_planned_stop_takes_no_request_that_its_end_would_cut() {
+    let bounds = SceneBounds {
+        stop_grace_s: 4.0,
+        ..Default::default()
+    };
+    let scene = Scene::open_with(bounds).await;
+    scene.terminate();
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    scene.set_moods(BackMood::Slow);
+    let mut caller = scene.connect().await;
+    let refused = caller.ask_within("/book/1", "r1", 1_500).await;
+    assert_eq!((refused.status, scene.runs("r1").len()), (503, 0));
+    assert!(refused.retry_after.is_some());
+    scene.set_moods(BackMood::Sound);
+    let mut caller = scene.connect().await;
+    assert_eq!(caller.ask_within("/book/1", "r2", 300).await.status, 200);
+    scene.close().await;
+}
--- a/crates/mangostep/tests/entry/scene.rs
+++ b/crates/mangostep/tests/entry/scene.rs
@@ -192,10 +192,28 @@
         CallerAnswer::of(&self.read().await)
     }
 
+    /// Asks with less time than usual.
+    pub async fn ask_within(&mut self, path: &str, id: &str, deadline_ms: u32) -> CallerAnswer {
+        self.send_within("POST", path, id, "north-key", deadline_ms)
+            .await;
+        CallerAnswer::of(&self.read().await)
+    }
+
     async fn send(&mut self, method: &str, path: &str, id: &str, key: &str) {
+        self.send_within(method, path, id, key, 1_500).await;
+    }
+
+    async fn send_within(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        key: &str,
+        deadline_ms: u32,
+    ) {
         let request = format!(
             "{method} {path} HTTP/1.1\r\nhost: app.example\r\nx-request-id: {id}\r\n\
-             x-deadline-ms: 1500\r\nauthorization: Bearer {key}\r\ncontent-length: 0\r\n\r\n"
+             x-deadline-ms: {deadline_ms}\r\nauthorization: Bearer {key}\r\ncontent-length: 0\r\n\r\n"
         );
         self.stream
             .write_all(request.as_bytes())
@@ -235,6 +253,8 @@
     /// Repeats allowed besides those for each request.
     pub retry_slack: f64,
     pub retry_ratio: f64,
+    /// Time from the signal to stop until the host is to have ended.
+    pub stop_grace_s: f64,
 }
 
 impl Default for SceneBounds {
@@ -242,6 +262,7 @@
         SceneBounds {
             retry_slack: 60.0,
             retry_ratio: 0.2,
+            stop_grace_s: 2.0,
         }
     }
 }
@@ -259,7 +280,7 @@
         let mut settings = serde_json::json!({
             "host": "h1", "zone": "a", "region": "home", "zones": { "a": "home" },
             "store": store_address.to_string(),
-            "bounds": { "stop_grace_s": 2.0, "retry_slack": bounds.retry_slack,
+            "bounds": { "stop_grace_s": bounds.stop_grace_s, "retry_slack": bounds.retry_slack,
                 "retry_ratio": bounds.retry_ratio },
         });
         for (name, address) in &ports {
