Prefer servers to which a connection is open

Change: a server without a usable connection costs 20 ms more. Hosts of a zone so come to use different servers.

--- a/crates/mangostep-entry/src/back/pools.rs
+++ b/crates/mangostep-entry/src/back/pools.rs
@@ -40,6 +40,16 @@
         }
     }
 
+    /// Whether there is an idle connection that may carry a request of the
+    /// kind, as far as its age tells.
+    pub(crate) fn has(&self, key: ServerKey, kind: RequestKind, now: MonotonicTime) -> bool {
+        let idle = self.idle.borrow();
+        let connections = idle.get(&key).into_iter().flatten();
+        connections
+            .into_iter()
+            .any(|connection| self.is_young(connection, kind, now))
+    }
+
     /// Takes an idle connection that may carry a request of the kind.
     pub(crate) fn take(
         &self,
@@ -50,12 +60,9 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
         connections.retain(|connection| self.is_usable(connection, now));
-        let at = connections.iter().rposition(|connection| {
-            let age = connection
-                .used
-                .map_or(Duration::ZERO, |used| now.since(used));
-            kind == RequestKind::Idempotent || age < self.once_idle.get()
-        })?;
+        let at = connections
+            .iter()
+            .rposition(|connection| self.is_young(connection, kind, now))?;
         Some(connections.remove(at))
     }
 
@@ -90,12 +97,18 @@
     }
 
     fn is_usable(&self, connection: &BackConnection, now: MonotonicTime) -> bool {
-        let age = connection
-            .used
-            .map_or(Duration::ZERO, |used| now.since(used));
+        self.is_young(connection, RequestKind::Idempotent, now) && connection.is_quiet()
+    }
+
+    fn is_young(&self, connection: &BackConnection, kind: RequestKind, now: MonotonicTime) -> bool {
         let limit = connection
             .idle_limit
             .map_or(IDLE_MAX, |limit| limit.mul_f64(IDLE_SHARE));
-        age < limit && connection.is_quiet()
+        let limit = match kind {
+            RequestKind::Idempotent => limit,
+            RequestKind::NonIdempotent => limit.min(self.once_idle.get()),
+        };
+        let used = connection.used;
+        used.is_none_or(|used| now.since(used) < limit)
     }
 }
--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -185,7 +185,15 @@
         }
         let pool = self.context.pool.borrow();
         let mut random = self.context.random.borrow_mut();
-        match pool.choose(ask, service.cold_rate_per_s, &mut *random, now) {
+        let kind = self.planned.route.kind;
+        let is_connected = |key| self.context.backs.has(key, kind, now);
+        match pool.choose(
+            ask,
+            service.cold_rate_per_s,
+            is_connected,
+            &mut *random,
+            now,
+        ) {
             ServerChoice::Send(key) => {
                 let entry = pool.entry(key).cloned();
                 entry
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -20,6 +20,9 @@
     /// Cost of leaving the own availability zone: two more passes between
     /// zones and the price of the bytes.
     pub zone_cost: Duration,
+    /// Cost of a new connection: passes to the server and back, the slot that
+    /// it holds meanwhile, and its price.
+    pub connect_cost: Duration,
     /// Cost of the last slot of a server, which spreads work before servers
     /// are full.
     pub full_cost: Duration,
@@ -93,6 +96,7 @@
             lost_cost: Duration::from_secs(4),
             repeat_cost: Duration::from_millis(250),
             zone_cost: Duration::from_millis(30),
+            connect_cost: Duration::from_millis(20),
             full_cost: Duration::from_millis(120),
             jitter: Duration::from_millis(20),
             test_pause: Duration::from_millis(600),
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -523,12 +523,14 @@
 
     /// Picks the server for a request.
     ///
-    /// `cold_rate` is the rate that a cold server of the service bears over
-    /// all hosts.
+    /// `cold_rate_per_s` is the rate that a cold server of the service bears
+    /// over all hosts; `is_connected` tells whether this host has a connection
+    /// to a server that the request may use.
     pub fn choose(
         &self,
         ask: ChoiceAsk<'_>,
         cold_rate_per_s: Option<f64>,
+        is_connected: impl Fn(ServerKey) -> bool,
         random: &mut impl Rng,
         now: MonotonicTime,
     ) -> ServerChoice {
@@ -566,7 +568,10 @@
                 continue;
             }
             let jitter = random.random_range(0.0..=self.settings.jitter.as_secs_f64());
-            let cost = self.cost(record, ask, wait, now) + jitter;
+            let mut cost = self.cost(record, ask, wait, now) + jitter;
+            if !is_connected(key) {
+                cost += self.settings.connect_cost.as_secs_f64();
+            }
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
--- a/crates/mangostep-policy/tests/dispatch/cold_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/cold_servers.rs
@@ -58,7 +58,8 @@
             } else {
                 (1.0, false)
             };
-            let choice = pools[host].choose(ask(rate, sees), Some(COLD_RATE), &mut random, now);
+            let choice =
+                pools[host].choose(ask(rate, sees), Some(COLD_RATE), |_| true, &mut random, now);
             let ServerChoice::Send(key) = choice else {
                 continue;
             };
@@ -125,7 +126,7 @@
         // Four requests in its first second.
         for request in 0..4 {
             let now = at_ms(request * 250 + host);
-            let choice = pool.choose(ask(0.2, false), Some(COLD_RATE), &mut random, now);
+            let choice = pool.choose(ask(0.2, false), Some(COLD_RATE), |_| true, &mut random, now);
             let ServerChoice::Send(key) = choice else {
                 continue;
             };
--- a/crates/mangostep-policy/tests/dispatch/failing_spells.rs
+++ b/crates/mangostep-policy/tests/dispatch/failing_spells.rs
@@ -39,7 +39,7 @@
     random: &mut SmallRng,
     now: MonotonicTime,
 ) -> ServerKey {
-    match pool.choose(ask(kind), None, random, now) {
+    match pool.choose(ask(kind), None, |_| true, random, now) {
         ServerChoice::Send(key) => key,
         ServerChoice::Refuse(reason, _) => panic!("refused: {}", reason.as_str()),
     }
@@ -353,6 +353,20 @@
     }
 }
 
+/// All servers are alike, and this host has connections to two of them.
+#[test]
+fn servers_with_a_connection_go_first_among_equals() {
+    let pool = pool_of(8);
+    let mut random = SmallRng::seed_from_u64(15);
+    let connected = ["s3", "s5"].map(|id| pool.find(id).expect("known"));
+    for _ in 0..50 {
+        let ask = ask(RequestKind::NonIdempotent);
+        let is_connected = |key| connected.contains(&key);
+        let choice = pool.choose(ask, None, is_connected, &mut random, at_ms(1));
+        assert!(matches!(choice, ServerChoice::Send(key) if connected.contains(&key)));
+    }
+}
+
 /// Leaving servers and zones that are out get nothing, however few are left.
 #[test]
 fn servers_that_may_not_take_work_are_never_chosen() {
@@ -369,7 +383,13 @@
         );
     }
     pool.set_zones_out(["a".to_owned()].into(), Duration::from_secs(3), at_ms(2));
-    let choice = pool.choose(ask(RequestKind::Idempotent), None, &mut random, at_ms(3));
+    let choice = pool.choose(
+        ask(RequestKind::Idempotent),
+        None,
+        |_| true,
+        &mut random,
+        at_ms(3),
+    );
     assert!(matches!(
         choice,
         ServerChoice::Refuse(ChoiceRefusal::NoServer, _)
