Look after servers of the own zone only

Change: lookups verify and test servers of their own zone; others take them when they cost less.

The test failed on the code before.

--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -761,14 +761,18 @@
             return cost + chance * settings.lost_cost.as_secs_f64();
         }
         let repeat_cost = settings.repeat_cost.as_secs_f64();
+        let is_near = record.entry.zone == ask.zone;
         if chance > settings.suspected_chance {
             // A request that may be repeated tells whether the server is
-            // sound again.
-            return match self.is_test_due(record, ask.service, now) {
+            // sound again. Hosts of its own zone do that.
+            return match is_near && self.is_test_due(record, ask.service, now) {
                 true => cost - repeat_cost,
                 false => cost + chance * settings.lost_cost.as_secs_f64(),
             };
         }
+        if !is_near {
+            return cost + chance * repeat_cost;
+        }
         // Looks after servers of which nothing was heard for long.
         let age = evidence.last_outcome().map_or(1.0, |at| {
             let spans = now.since(at).as_secs_f64() / settings.verify_span.as_secs_f64();
--- a/crates/mangostep-policy/tests/dispatch/failing_spells.rs
+++ b/crates/mangostep-policy/tests/dispatch/failing_spells.rs
@@ -353,6 +353,25 @@
     }
 }
 
+/// Hosts of another zone look after its servers; this host hears little of
+/// them, for what goes well there is not told here.
+#[test]
+fn lookups_do_not_go_to_another_zone_to_look_after_its_servers() {
+    let mut pool = pool_of(4);
+    for index in 4..8 {
+        let mut far = server(index);
+        far.zone = "b".to_owned();
+        pool.put(&far, Duration::ZERO, at_ms(0));
+    }
+    let mut random = SmallRng::seed_from_u64(16);
+    for step in 0..200 {
+        let now = at_ms(3_000 + 20 * step);
+        let key = pick(&pool, RequestKind::Idempotent, &mut random, now);
+        assert_eq!(pool.entry(key).expect("known").zone, "a");
+        pool.note_own(key, ServerSignal::Success, now, now);
+    }
+}
+
 /// All servers are alike, and this host has connections to two of them.
 #[test]
 fn servers_with_a_connection_go_first_among_equals() {
