--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -23,9 +23,9 @@
 /// connections are found sooner by keep-alive probes and by other hosts.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// Pause after an answer, so that a burst of changes is one answer: a tenth
+/// Pause after an answer, so that a burst of changes is one answer: a quarter
 /// of the time in which changes must be in force.
-const WATCH_PAUSE: Duration = Duration::from_millis(250);
+const WATCH_PAUSE: Duration = Duration::from_millis(450);
 
 /// Pause after an answer about hosts, which also tell of themselves.
 const HOSTS_PAUSE: Duration = Duration::from_secs(4);
