Let few hosts ask a store that answers nobody

Cause: while the store is down, each host of a zone took itself for a watcher, for it heard of no better host that the store answers, and all called it for three tables at least once a second.

Change: the first three hosts of a zone go on asking; the others follow in their place one after the other, 250 ms apart, and stand down for 4 s when they are refused too. While the store answers nothing, calls for one table only are made for up to 2 s. The own row is written at growing pauses.

--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -37,6 +37,10 @@
 /// half of the time in which changes must be in force.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(1_000);
 
+/// Longest time for which calls for further tables wait while the store answers
+/// none: it may serve some tables only.
+const STORE_ABSENCE: Duration = Duration::from_secs(2);
+
 /// Time between two looks whether this host follows the store.
 const ROLE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -88,6 +92,7 @@
                 failures = 0;
                 is_whole = true;
                 context.store_failed.set(false);
+                context.hosts.borrow_mut().note_store(true, clock::now());
                 apply(&context, &*platform, table, delta, "store");
                 let pause = match table {
                     FleetTable::Hosts => HOSTS_PAUSE,
@@ -111,15 +116,29 @@
                     .count("store-call-failed", &[("table", table.as_str())]);
                 is_whole &= fault.kind != StoreFaultKind::Malformed;
                 context.store_failed.set(true);
+                context.hosts.borrow_mut().note_store(false, clock::now());
+                context.report_wake.notify_one();
                 let pause = FAILURE_PAUSE_MIN * 2_u32.pow(failures.min(4));
                 failures += 1;
                 let spread = context.random.borrow_mut().random_range(0.7..1.3);
                 tokio::time::sleep(pause.min(FAILURE_PAUSE_MAX).mul_f64(spread)).await;
+                if is_whole && table != FleetTable::Operator {
+                    wait_for_store(&context).await;
+                }
             }
         }
     }
 }
 
+/// Waits until the store answers calls for another table, so that an outage
+/// costs calls for one table only.
+async fn wait_for_store(context: &HostContext) {
+    let began = clock::now();
+    while context.store_failed.get() && clock::now().since(began) < STORE_ABSENCE {
+        tokio::time::sleep(ROLE_PAUSE).await;
+    }
+}
+
 /// Reads from other hosts what this one has not read from the store.
 pub(crate) async fn follow_hosts<P: Platform>(context: Rc<HostContext>, platform: Rc<P>) {
     while context.phase.get() < HostPhase::Closing {
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -53,9 +53,14 @@
 /// Longest time to write log lines at the end.
 const LOG_WAIT: Duration = Duration::from_millis(50);
 
-/// Pause between two attempts to write the own row.
+/// Pause between the first two attempts to write the own row; doubled up to
+/// the largest.
 const HOST_ROW_PAUSE: Duration = Duration::from_millis(700);
 
+/// Largest pause between two attempts to write the own row. Other hosts know it
+/// from reports meanwhile.
+const HOST_ROW_PAUSE_MAX: Duration = Duration::from_secs(5);
+
 /// Time between two sweeps of idle connections.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 
@@ -236,9 +241,11 @@
             return;
         }
     };
+    let mut pause = HOST_ROW_PAUSE;
     while let Err(fault) = platform.put_host(&row.name, &value).await {
         warn!(context.log, "own row not written"; "error" => fault.to_string());
-        tokio::time::sleep(HOST_ROW_PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(HOST_ROW_PAUSE_MAX);
     }
 }
 
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -26,6 +26,13 @@
     pub succession_step: Duration,
     /// Most of that further silence.
     pub succession_max: Duration,
+    /// Time that each host leaves to the next better one before it follows
+    /// the store in place of watchers that the store refuses: a host tries it
+    /// at once, and tells within that time.
+    pub refusal_step: Duration,
+    /// Time for which a host that followed the store in place of others, and
+    /// was refused too, leaves it to the next.
+    pub stand_down: Duration,
     /// Time after its start in which a host takes hosts that it has not heard
     /// for alive, so that not all hosts of a zone that starts are watchers.
     pub succession_start: Duration,
@@ -59,6 +66,8 @@
             watcher_silence: Duration::from_millis(1_200),
             succession_step: Duration::from_millis(30),
             succession_max: Duration::from_millis(300),
+            refusal_step: Duration::from_millis(250),
+            stand_down: Duration::from_secs(4),
             succession_start: Duration::from_millis(600),
             listening: Duration::from_millis(1_200),
             list_keep: Duration::from_millis(4_500),
@@ -101,6 +110,10 @@
     watching_since: Option<MonotonicTime>,
     /// Since when too few watchers were heard.
     lonely_since: Option<MonotonicTime>,
+    /// Since when the store answers too few of the better hosts.
+    refused_since: Option<MonotonicTime>,
+    /// When a call of this host to the store failed, if none succeeded since.
+    own_refusal: Option<MonotonicTime>,
     /// Whether the next reports go to all hosts of the zone.
     is_publishing: bool,
     /// Hosts that the zone's load asked for, at its highest of late.
@@ -115,6 +128,13 @@
     heard: MonotonicTime,
 }
 
+/// A host that goes before this one as a watcher.
+#[derive(Clone, Copy, Debug)]
+struct BetterHost {
+    /// Whether the store answers it.
+    is_able: bool,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct NamedNeed {
     count: usize,
@@ -134,6 +154,8 @@
             lists: BTreeMap::new(),
             watching_since: None,
             lonely_since: None,
+            refused_since: None,
+            own_refusal: None,
             is_publishing: false,
             named_need: NamedNeed::default(),
         }
@@ -182,10 +204,10 @@
     /// out if that falls to this host. Returns the report to send.
     pub fn begin_turn(&mut self, report: PeerReport, now: MonotonicTime) -> &PeerReport {
         let is_watcher = !report.is_leaving && self.is_watcher(now);
-        match is_watcher {
-            true => drop(self.watching_since.get_or_insert(now)),
-            false => self.watching_since = None,
-        }
+        self.watching_since = match is_watcher {
+            true => self.watching_since.or(Some(now)),
+            false => None,
+        };
         let listening = self.settings.listening;
         let watching = self.watching_since.map(|since| now.since(since));
         // A watcher that steps down tells all hosts, who look for the next.
@@ -196,10 +218,10 @@
             ..report
         };
         let watchers = self.heard_watchers(now).count() + usize::from(is_watcher);
-        match watchers < self.settings.watchers.min(2) {
-            true => drop(self.lonely_since.get_or_insert(now)),
-            false => self.lonely_since = None,
-        }
+        self.lonely_since = match watchers < self.settings.watchers.min(2) {
+            true => self.lonely_since.or(Some(now)),
+            false => None,
+        };
         if self.makes_list(now) {
             let sighting = ListSighting {
                 list: self.make_list(now),
@@ -218,9 +240,19 @@
         let is_ready = report.is_ready;
         let sighting = PeerSighting { report, heard: now };
         self.seen.insert(name.to_owned(), sighting);
+        let able = self.better_hosts(now).filter(|better| better.is_able);
+        self.refused_since = match able.count() < self.settings.watchers {
+            true => self.refused_since.or(Some(now)),
+            false => None,
+        };
         was_ready != is_ready
     }
 
+    /// Takes note of how a call of this host to the store ended.
+    pub fn note_store(&mut self, is_answered: bool, now: MonotonicTime) {
+        self.own_refusal = (!is_answered).then_some(now);
+    }
+
     /// Takes note of a zone's list that `by` tells. The list of the own zone
     /// is taken from its best watcher.
     pub fn note_list(&mut self, by: &str, list: ZoneList, now: MonotonicTime) {
@@ -268,30 +300,56 @@
     }
 
     /// Whether this host follows the store and collects the reports of its
-    /// zone: it is among the first of its zone that the store answers.
+    /// zone: it is among the first of its zone, or the store refuses so many
+    /// of these that it follows in their place.
     pub fn is_watcher(&self, now: MonotonicTime) -> bool {
-        let names: Vec<&str> = self.zone_rows().map(|row| row.name.as_str()).collect();
-        let order = rendezvous_order(WATCHER_ORDER, names);
-        let own = order.iter().position(|name| *name == self.own.name);
-        let own = own.unwrap_or_default();
+        let settings = &self.settings;
+        let better: Vec<BetterHost> = self.better_hosts(now).collect();
+        if better.len() < settings.watchers {
+            return true;
+        }
+        if better.iter().filter(|host| host.is_able).count() >= settings.watchers {
+            return false;
+        }
+        // Where the store refuses all, hosts do not try it all at once.
+        let place = (self.watcher_place() + 1).saturating_sub(settings.watchers);
+        let wait = settings.refusal_step * u32::try_from(place).unwrap_or(u32::MAX);
+        let is_refused = |at: MonotonicTime| now.since(at) < settings.stand_down;
+        let is_turn = |since: MonotonicTime| now.since(since) >= wait;
+        self.refused_since.is_some_and(is_turn) && !self.own_refusal.is_some_and(is_refused)
+    }
+
+    /// The own place in the order of the zone's watchers, from 0.
+    fn watcher_place(&self) -> usize {
+        let names = self.zone_rows().map(|row| row.name.as_str());
+        let better = names.filter(|name| is_better_watcher(name, &self.own.name));
+        better.count()
+    }
+
+    /// The hosts of the zone that were heard and go before this one as
+    /// watchers.
+    fn better_hosts(&self, now: MonotonicTime) -> impl Iterator<Item = BetterHost> {
         let settings = &self.settings;
         let wait = match self.own_report.is_watcher {
             true => Duration::ZERO,
-            false => settings.succession_step * u32::try_from(own).unwrap_or(u32::MAX),
+            false => {
+                let place = u32::try_from(self.watcher_place()).unwrap_or(u32::MAX);
+                (settings.succession_step * place).min(settings.succession_max)
+            }
         };
-        let wait = wait.min(settings.succession_max);
         let is_new = now.since(self.opened) < settings.succession_start + wait;
-        let better = order[..own]
-            .iter()
-            .filter(|name| match self.seen.get(**name) {
-                Some(seen) => {
-                    now.since(seen.heard) < settings.watcher_silence + wait
-                        && !seen.report.store_failed
-                        && !seen.report.is_leaving
-                }
-                None => is_new,
-            });
-        better.count() < settings.watchers
+        let names = self.zone_rows().map(|row| row.name.as_str());
+        let better = names.filter(|name| is_better_watcher(name, &self.own.name));
+        better.filter_map(move |name| match self.seen.get(name) {
+            Some(seen) => {
+                let silence = settings.watcher_silence + wait;
+                let is_there = now.since(seen.heard) < silence && !seen.report.is_leaving;
+                is_there.then_some(BetterHost {
+                    is_able: !seen.report.store_failed,
+                })
+            }
+            None => is_new.then_some(BetterHost { is_able: true }),
+        })
     }
 
     fn is_heard_watcher(&self, name: &str, now: MonotonicTime) -> bool {
@@ -504,5 +562,5 @@
 
 /// Whether `first` goes before `second` as a watcher.
 fn is_better_watcher(first: &str, second: &str) -> bool {
-    rendezvous_order(WATCHER_ORDER, [first, second])[0] == first
+    first != second && rendezvous_order(WATCHER_ORDER, [first, second])[0] == first
 }
--- a/crates/mangostep-policy/tests/dispatch/host_table.rs
+++ b/crates/mangostep-policy/tests/dispatch/host_table.rs
@@ -258,12 +258,45 @@
         fleet.reports.insert(name.clone(), refused.clone());
     }
     // The refused ones go on asking, and three others follow the store.
-    fleet.turns(3);
+    fleet.turns(4);
     let after = fleet.watchers("a");
     let others = after.iter().filter(|name| !first.contains(name));
     assert_eq!(others.count(), 3, "{after:?}");
 }
 
+/// The store is down for all: few hosts ask it, so that it is not flooded when
+/// it comes back, and its return is noticed.
+#[test]
+fn few_hosts_ask_a_store_that_answers_nobody() {
+    let mut fleet = HostFleet::open(&["a"]);
+    fleet.turns(6);
+    let refused = PeerReport {
+        store_failed: true,
+        ..ready()
+    };
+    for _ in 0..20 {
+        let watchers = fleet.watchers("a");
+        assert!((3..=8).contains(&watchers.len()), "{watchers:?}");
+        let now = at_ms(fleet.now_ms);
+        for table in fleet.tables.values_mut() {
+            if watchers.contains(&table.own().name) {
+                table.note_store(false, now);
+                fleet
+                    .reports
+                    .insert(table.own().name.clone(), refused.clone());
+            }
+        }
+        fleet.turn();
+    }
+    // It is back: the first hosts are answered, and the others leave it.
+    for table in fleet.tables.values_mut() {
+        table.note_store(true, at_ms(fleet.now_ms));
+        fleet.reports.insert(table.own().name.clone(), ready());
+    }
+    fleet.turns(3);
+    assert_eq!(fleet.watchers("a").len(), 3);
+}
+
 /// All watchers of a zone lose power at once.
 #[test]
 fn others_follow_the_store_within_two_seconds_of_the_watchers_end() {
