Leave heartbeats out of changes, and read each change once

Cause: a change of one server's entry came with the heartbeats of all others, so that 100 KB were passed on; as that is too much for small links, all hosts read it from the store. A host that had read a change read it once more for each other host that had told of it meanwhile. A host that started took itself for a watcher until it knew the others.

Change: rows that only show that a server lives are no part of a copy's changes; before a change is read it is compared again; watching begins when the other hosts are known.

The test of heartbeats needs the new method and could not be run on the code before.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -16,7 +16,11 @@
 };
 
 use crate::{
-    back::BackPools, peers::PeerPort, platform::FleetTable, prelude::*, settings::HostSettings,
+    back::BackPools,
+    peers::{PeerPort, TableMark},
+    platform::FleetTable,
+    prelude::*,
+    settings::HostSettings,
 };
 
 /// What the duties of a host share. One thread runs them all.
@@ -95,6 +99,13 @@
     pub(crate) is_known: bool,
 }
 
+impl TableState {
+    /// Whether another host that has followed the table so far knows more.
+    pub(crate) fn lacks(&self, mark: &TableMark) -> bool {
+        mark.digest != self.digest && mark.version > self.copy.version()
+    }
+}
+
 impl TableStates {
     pub(crate) fn of(&self, table: FleetTable) -> &TableState {
         &self.0[table.index()]
--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -37,6 +37,9 @@
 /// half of the time in which changes must be in force.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(1_000);
 
+/// Longest time for which a host that starts waits to learn of the others.
+const HOSTS_WAIT: Duration = Duration::from_secs(1);
+
 /// Longest time for which calls for further tables wait while the store answers
 /// none: it may serve some tables only.
 const STORE_ABSENCE: Duration = Duration::from_secs(2);
@@ -68,7 +71,14 @@
     let mut is_whole = false;
     let mut was_watcher = false;
     let mut failures = 0;
+    let opened = clock::now();
     while context.phase.get() < HostPhase::Closing {
+        // A host that knows no others would take itself for a watcher.
+        let knows_hosts = context.tables.borrow().of(FleetTable::Hosts).is_known;
+        if is_whole && !knows_hosts && clock::now().since(opened) < HOSTS_WAIT {
+            tokio::time::sleep(ROLE_PAUSE).await;
+            continue;
+        }
         let is_watcher = context.hosts.borrow().is_watcher(clock::now());
         if is_watcher != was_watcher {
             was_watcher = is_watcher;
@@ -160,12 +170,18 @@
                 let own = context.settings.copies;
                 let seeds = context.settings.seeds.iter().filter(|seed| **seed != own);
                 behind.extend(seeds.map(|seed| {
-                    let address = *seed;
-                    (table, BehindTable { address, bytes: 0 })
+                    let lacking = BehindTable {
+                        address: *seed,
+                        mark: None,
+                    };
+                    (table, lacking)
                 }));
             }
         }
         for (table, lacking) in behind {
+            if !is_behind(&context, table, &lacking) {
+                continue;
+            }
             if !read_from_store(&context, &*platform, table, lacking).await {
                 read_from_host(&context, &*platform, table, lacking.address).await;
             }
@@ -185,6 +201,14 @@
     chosen.collect()
 }
 
+/// Whether this host still lacks what another one has: it may have read that
+/// meanwhile.
+fn is_behind(context: &HostContext, table: FleetTable, lacking: &BehindTable) -> bool {
+    let tables = context.tables.borrow();
+    let own = tables.of(table);
+    !own.is_known || lacking.mark.is_some_and(|mark| own.lacks(&mark))
+}
+
 /// Reads a change from the store where it is too large for the links of
 /// hosts; tells whether that was done.
 async fn read_from_store<P: Platform>(
@@ -194,7 +218,8 @@
     lacking: BehindTable,
 ) -> bool {
     let readers = context.hosts.borrow().zone_rows().count();
-    if CopySource::of(lacking.bytes, readers) == CopySource::Host {
+    let bytes = lacking.mark.map_or(0, |mark| mark.changed_bytes);
+    if CopySource::of(bytes, readers) == CopySource::Host {
         return false;
     }
     let after = context.tables.borrow().of(table).copy.version();
@@ -259,7 +284,9 @@
         let is_first = !state.is_known;
         let version = delta.version;
         let total = state.copy.rows().count();
-        let changed = state.copy.apply(delta);
+        let changed = state.copy.apply_unless(delta, |known, new| {
+            table == FleetTable::Servers && is_heartbeat(platform, known, new)
+        });
         state.is_known = true;
         let sizes = changed
             .iter()
@@ -283,6 +310,14 @@
     }
 }
 
+/// Whether a row of a backend server only shows that it lives. What a cold
+/// server writes tells how long it stays so.
+fn is_heartbeat<P: Platform>(platform: &P, known: &[u8], new: &[u8]) -> bool {
+    let decode = |value| platform.decode_server_row("", value).ok();
+    let known = decode(known);
+    known.is_some() && known == decode(new) && known.is_some_and(|k| k.cold_left.is_zero())
+}
+
 /// A digest of what the rows of a table say, alike on all hosts that read the
 /// same changes. What backend servers write with each heartbeat is left out.
 fn digest_of<P: Platform>(context: &HostContext, platform: &P, table: FleetTable) -> u64 {
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -24,6 +24,7 @@
 
 pub(crate) use self::{
     copies::{read_copy, serve_copies},
+    messages::TableMark,
     receiving::receive,
     reporting::{report, report_once},
     signals::tell_signal,
@@ -36,8 +37,8 @@
 pub(crate) struct BehindTable {
     /// Address at which the other host gives copies.
     pub(crate) address: SocketAddr,
-    /// Bytes of the change.
-    pub(crate) bytes: usize,
+    /// How far that host has followed the table; none for a seed.
+    pub(crate) mark: Option<TableMark>,
 }
 
 /// The socket for datagrams, and the asks that wait for answers.
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -77,12 +77,11 @@
     let mut behind = context.peers.behind.borrow_mut();
     for mark in report.tables {
         let own = tables.of(mark.table);
-        let is_behind = mark.digest != own.digest && mark.version > own.copy.version();
-        if let Some(copies) = copies.filter(|_| is_behind || !own.is_known) {
+        if let Some(copies) = copies.filter(|_| own.lacks(&mark) || !own.is_known) {
             let sources = behind.entry(mark.table).or_default();
             sources.push(BehindTable {
                 address: copies,
-                bytes: mark.changed_bytes,
+                mark: Some(mark),
             });
             context.peers.behind_wake.notify_one();
         }
--- a/crates/mangostep-policy/src/dispatch/table_copy.rs
+++ b/crates/mangostep-policy/src/dispatch/table_copy.rs
@@ -58,6 +58,17 @@
     /// Applies a delta and returns the rows that changed by it, removed ones
     /// without a value.
     pub fn apply(&mut self, delta: CopyDelta) -> Vec<CopyRow> {
+        self.apply_unless(delta, |_, _| false)
+    }
+
+    /// Applies a delta without the rows that say the same as the rows they
+    /// follow, such as heartbeats: `is_same` compares a known value with a new
+    /// one. Deltas for other hosts then leave them out as well.
+    pub fn apply_unless(
+        &mut self,
+        delta: CopyDelta,
+        is_same: impl Fn(&[u8], &[u8]) -> bool,
+    ) -> Vec<CopyRow> {
         if delta.version < self.version {
             return Vec::new();
         }
@@ -79,6 +90,13 @@
             if known.is_some_and(|known| known.version >= row.version) {
                 continue;
             }
+            let known_value = known.and_then(|known| known.value.as_deref());
+            if let (Some(known), Some(new)) = (known_value, row.value.as_deref())
+                && known != new
+                && is_same(known, new)
+            {
+                continue;
+            }
             let differs = known.map(|known| &known.value) != Some(&row.value);
             if differs && (row.value.is_some() || known.is_some()) {
                 changed.push(row.clone());
--- a/crates/mangostep-policy/tests/dispatch/table_copy.rs
+++ b/crates/mangostep-policy/tests/dispatch/table_copy.rs
@@ -97,6 +97,40 @@
     assert_eq!(changed, [row(2, 5, 0)]);
 }
 
+/// Hundreds of servers write heartbeats while one of them leaves: hosts that
+/// read from another one need the change alone.
+#[test]
+fn heartbeats_are_no_part_of_a_delta() {
+    // The last byte of a value counts heartbeats.
+    let is_same = |known: &[u8], new: &[u8]| known[0] == new[0];
+    let entry = |key: u8, version: u64, state: u8, beat: u8| CopyRow {
+        key: format!("k{key}"),
+        version,
+        value: Some(vec![state, beat]),
+    };
+    let mut copy = TableCopy::default();
+    let delta = |version, rows| CopyDelta {
+        version,
+        is_whole: version == 1,
+        rows,
+    };
+    let first = (0..100).map(|key| entry(key, 1, 1, 0)).collect();
+    assert_eq!(copy.apply_unless(delta(1, first), is_same).len(), 100);
+    let mut second: Vec<CopyRow> = (0..100).map(|key| entry(key, 2, 1, 1)).collect();
+    second[7] = entry(7, 2, 9, 1);
+    assert_eq!(copy.apply_unless(delta(2, second), is_same).len(), 1);
+    assert_eq!(copy.delta_after(1).rows, [entry(7, 2, 9, 1)]);
+    // A removed entry that comes back is a change, whatever it says.
+    let removed = CopyRow {
+        key: "k3".to_owned(),
+        version: 3,
+        value: None,
+    };
+    assert_eq!(copy.apply_unless(delta(3, vec![removed]), is_same).len(), 1);
+    let back = vec![entry(3, 4, 1, 2)];
+    assert_eq!(copy.apply_unless(delta(4, back), is_same).len(), 1);
+}
+
 /// The store was away, and all entries lapsed while it was.
 #[test]
 fn entries_that_lapse_with_the_store_stay_for_two_seconds() {
