Let hosts with the widest links watch

Cause: changes of more than 600 KB for a zone were read from the store by all its hosts, since any host could be a watcher and the smallest have links of 10 Mbit/s; a configuration of 26 KB for 45 hosts is that much.

Change: rows tell the width of a host's link; watchers are the hosts with the widest; a change is read from hosts while it takes their links for half a second at most, shared by those that have it.

The test of the sources needs the new figures of a link and could not be run on the code before.

--- a/crates/mangostep-entry/src/follow.rs
+++ b/crates/mangostep-entry/src/follow.rs
@@ -166,37 +166,39 @@
         let mut behind = choose_sources(&context);
         for table in FleetTable::ALL {
             let is_known = context.tables.borrow().of(table).is_known;
-            if !is_known && behind.iter().all(|(other, _)| *other != table) {
+            if !is_known && behind.iter().all(|(other, ..)| *other != table) {
                 let own = context.settings.copies;
                 let seeds = context.settings.seeds.iter().filter(|seed| **seed != own);
                 behind.extend(seeds.map(|seed| {
                     let lacking = BehindTable {
                         address: *seed,
                         mark: None,
+                        link_mbps: 0,
                     };
-                    (table, lacking)
+                    (table, lacking, 1)
                 }));
             }
         }
-        for (table, lacking) in behind {
+        for (table, lacking, sources) in behind {
             if !is_behind(&context, table, &lacking) {
                 continue;
             }
-            if !read_from_store(&context, &*platform, table, lacking).await {
+            if !read_from_store(&context, &*platform, table, lacking, sources).await {
                 read_from_host(&context, &*platform, table, lacking.address).await;
             }
         }
     }
 }
 
-/// One of the hosts that have a newer copy, for each table that has one; hosts
-/// of a zone spread over them.
-fn choose_sources(context: &HostContext) -> Vec<(FleetTable, BehindTable)> {
+/// One of the hosts that have a newer copy, for each table that has one, and
+/// how many there are; hosts of a zone spread over them.
+fn choose_sources(context: &HostContext) -> Vec<(FleetTable, BehindTable, usize)> {
     let mut random = context.random.borrow_mut();
     let behind = context.peers.behind.take();
     let chosen = behind.into_iter().filter_map(|(table, sources)| {
         let at = random.random_range(0..sources.len().max(1));
-        sources.get(at).map(|source| (table, *source))
+        let source = sources.get(at)?;
+        Some((table, *source, sources.len()))
     });
     chosen.collect()
 }
@@ -216,10 +218,11 @@
     platform: &P,
     table: FleetTable,
     lacking: BehindTable,
+    sources: usize,
 ) -> bool {
     let readers = context.hosts.borrow().zone_rows().count();
     let bytes = lacking.mark.map_or(0, |mark| mark.changed_bytes);
-    if CopySource::of(bytes, readers) == CopySource::Host {
+    if CopySource::of(bytes, readers, sources, lacking.link_mbps) == CopySource::Host {
         return false;
     }
     let after = context.tables.borrow().of(table).copy.version();
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -131,6 +131,7 @@
         front: settings.front,
         peer: settings.peer,
         copies: settings.copies,
+        link_mbps: settings.link_mbps.ceil() as u32,
     };
     let allowance = AllowanceSettings {
         ratio: settings.bounds.retry_ratio,
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -39,6 +39,8 @@
     pub(crate) address: SocketAddr,
     /// How far that host has followed the table; none for a seed.
     pub(crate) mark: Option<TableMark>,
+    /// Width of its link, in Mbit/s.
+    pub(crate) link_mbps: u32,
 }
 
 /// The socket for datagrams, and the asks that wait for answers.
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -56,7 +56,7 @@
     let now = clock::now();
     let mut hosts = context.hosts.borrow_mut();
     let row = report.row.as_ref();
-    let copies = row.map(|row| row.copies);
+    let source = row.map(|row| (row.copies, row.link_mbps));
     if let Some(row) = report.row.filter(|row| hosts.row(&row.name) != Some(row)) {
         hosts.put(row);
     }
@@ -77,11 +77,12 @@
     let mut behind = context.peers.behind.borrow_mut();
     for mark in report.tables {
         let own = tables.of(mark.table);
-        if let Some(copies) = copies.filter(|_| own.lacks(&mark) || !own.is_known) {
+        if let Some((address, link_mbps)) = source.filter(|_| own.lacks(&mark) || !own.is_known) {
             let sources = behind.entry(mark.table).or_default();
             sources.push(BehindTable {
-                address: copies,
+                address,
                 mark: Some(mark),
+                link_mbps,
             });
             context.peers.behind_wake.notify_one();
         }
--- a/crates/mangostep-entry/src/settings.rs
+++ b/crates/mangostep-entry/src/settings.rs
@@ -41,6 +41,8 @@
     pub store: String,
     /// Share of a core that this host has.
     pub cpu_share: f64,
+    /// Width of this host's link to the network, in Mbit/s.
+    pub link_mbps: f64,
     /// Memory that this host has, in MB.
     pub memory_mb: u64,
     /// Figures that the operators' agreements set.
@@ -64,6 +66,7 @@
             seeds: Vec::new(),
             store: "127.0.0.1:7000".to_owned(),
             cpu_share: 1.0,
+            link_mbps: 100.0,
             memory_mb: 512,
             bounds: FleetBounds::default(),
         }
@@ -149,6 +152,9 @@
         if self.cpu_share <= 0.0 || !self.cpu_share.is_finite() {
             return Err("cpu_share: must be more than 0".to_owned());
         }
+        if self.link_mbps <= 0.0 || !self.link_mbps.is_finite() {
+            return Err("link_mbps: must be more than 0".to_owned());
+        }
         let bounds = &self.bounds;
         if bounds.stop_grace_s.is_zero() {
             return Err("bounds.stop_grace_s: must be more than 0 seconds".to_owned());
--- a/crates/mangostep-policy/src/dispatch/copy_source.rs
+++ b/crates/mangostep-policy/src/dispatch/copy_source.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 /// Where a host that is behind reads a change from first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CopySource {
@@ -7,16 +9,17 @@
     Store,
 }
 
-/// Bytes that one host sends to the others of its zone for one change. The
-/// smallest hosts have links of 10 Mbit/s, which carry this in half a second,
-/// a quarter of the time in which a change must be in force.
-const HOST_BYTES_MAX: usize = 600_000;
+/// Longest time that a host's link may be taken by one change: a quarter of the
+/// time in which a change must be in force.
+const LINK_TIME: Duration = Duration::from_millis(500);
 
 impl CopySource {
     /// The source of a change of so many bytes that `readers` hosts read at
-    /// once.
-    pub fn of(bytes: usize, readers: usize) -> Self {
-        match bytes.saturating_mul(readers) <= HOST_BYTES_MAX {
+    /// once from `sources` hosts with links of `link_mbps` each.
+    pub fn of(bytes: usize, readers: usize, sources: usize, link_mbps: u32) -> Self {
+        let bytes = bytes as f64 * readers as f64 / sources.max(1) as f64;
+        let bytes_per_s = f64::from(link_mbps) * 1e6 / 8.0;
+        match bytes <= bytes_per_s * LINK_TIME.as_secs_f64() {
             true => CopySource::Host,
             false => CopySource::Store,
         }
--- a/crates/mangostep-policy/src/dispatch/host_row.rs
+++ b/crates/mangostep-policy/src/dispatch/host_row.rs
@@ -17,4 +17,6 @@
     pub peer: SocketAddr,
     /// Address at which other hosts read its copies of tables.
     pub copies: SocketAddr,
+    /// Width of its link to the network, in Mbit/s.
+    pub link_mbps: u32,
 }
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -1,4 +1,5 @@
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::Duration,
@@ -261,7 +262,7 @@
             let is_best = known.is_none_or(|known| {
                 known.by == by
                     || !self.is_heard_watcher(&known.by, now)
-                    || !is_better_watcher(&known.by, by)
+                    || !self.is_better_watcher(&known.by, by)
             });
             if !is_best || self.makes_list(now) {
                 return;
@@ -319,10 +320,23 @@
         self.refused_since.is_some_and(is_turn) && !self.own_refusal.is_some_and(is_refused)
     }
 
+    /// Whether `first` goes before `second` as a watcher: watchers send changes
+    /// to all hosts of their zone, so that those with the widest links go first.
+    fn is_better_watcher(&self, first: &str, second: &str) -> bool {
+        let link = |name: &str| self.rows.get(name).map_or(0, |row| row.link_mbps);
+        match link(first).cmp(&link(second)) {
+            Ordering::Greater => true,
+            Ordering::Less => false,
+            Ordering::Equal => {
+                first != second && rendezvous_order(WATCHER_ORDER, [first, second])[0] == first
+            }
+        }
+    }
+
     /// The own place in the order of the zone's watchers, from 0.
     fn watcher_place(&self) -> usize {
         let names = self.zone_rows().map(|row| row.name.as_str());
-        let better = names.filter(|name| is_better_watcher(name, &self.own.name));
+        let better = names.filter(|name| self.is_better_watcher(name, &self.own.name));
         better.count()
     }
 
@@ -339,7 +353,7 @@
         };
         let is_new = now.since(self.opened) < settings.succession_start + wait;
         let names = self.zone_rows().map(|row| row.name.as_str());
-        let better = names.filter(|name| is_better_watcher(name, &self.own.name));
+        let better = names.filter(|name| self.is_better_watcher(name, &self.own.name));
         better.filter_map(move |name| match self.seen.get(name) {
             Some(seen) => {
                 let silence = settings.watcher_silence + wait;
@@ -366,7 +380,8 @@
     /// that has heard from all hosts.
     pub fn makes_list(&self, now: MonotonicTime) -> bool {
         let is_worse = |row: &HostRow| {
-            !self.seen[&row.name].report.knows_zone || is_better_watcher(&self.own.name, &row.name)
+            !self.seen[&row.name].report.knows_zone
+                || self.is_better_watcher(&self.own.name, &row.name)
         };
         self.own_report.knows_zone && self.heard_watchers(now).all(is_worse)
     }
@@ -516,10 +531,11 @@
         if let Some(since) = self.lonely_since {
             let doublings = now.since(since).as_millis() / LONELY_STEP.as_millis() + 1;
             let reach = self.settings.watchers << doublings.min(8);
-            let names: Vec<&str> = others.map(|row| row.name.as_str()).collect();
+            let names = others.map(|row| row.name.as_str());
             let order = rendezvous_order(WATCHER_ORDER, names);
-            let next = order.into_iter().filter_map(|name| self.rows.get(name));
-            for row in next.take(reach) {
+            let mut next: Vec<&HostRow> = order.iter().filter_map(|n| self.rows.get(*n)).collect();
+            next.sort_by_key(|row| std::cmp::Reverse(row.link_mbps));
+            for row in next.into_iter().take(reach) {
                 if !targets.contains(&row.peer) {
                     targets.push(row.peer);
                 }
@@ -559,8 +575,3 @@
             .collect()
     }
 }
-
-/// Whether `first` goes before `second` as a watcher.
-fn is_better_watcher(first: &str, second: &str) -> bool {
-    first != second && rendezvous_order(WATCHER_ORDER, [first, second])[0] == first
-}
--- a/crates/mangostep-policy/tests/dispatch/host_table.rs
+++ b/crates/mangostep-policy/tests/dispatch/host_table.rs
@@ -23,6 +23,7 @@
         front: address(1),
         peer: address(2),
         copies: address(3),
+        link_mbps: 10,
     }
 }
 
@@ -171,6 +172,22 @@
     }
 }
 
+/// Machines of two sizes: what a zone's watchers send to all hosts goes over the
+/// widest links.
+#[test]
+fn hosts_with_wide_links_watch() {
+    let rows: Vec<HostRow> = (0..HOSTS)
+        .map(|index| HostRow {
+            link_mbps: if [5, 9, 12].contains(&index) { 200 } else { 10 },
+            ..row("a", index)
+        })
+        .collect();
+    let mut fleet = HostFleet::open(&["a"]);
+    rows.iter().for_each(|row| fleet.start(row, &rows));
+    fleet.turns(6);
+    assert_eq!(fleet.watchers("a"), ["a5", "a9", "a12"]);
+}
+
 #[test]
 fn a_silent_or_leaving_host_is_not_named() {
     let mut fleet = HostFleet::open(&["a", "b"]);
