Measure a host's rate over the time that it serves

Cause: a host that had just started divided its few requests by five seconds, took itself for one with little load, and sent cold servers many times their part.

Change: rates are told over the time since the first event, a quarter of a second at least.

The test fails on the code before (29 requests in a second, 9.05 allowed).

--- a/crates/mangostep-policy/src/dispatch/active_window.rs
+++ b/crates/mangostep-policy/src/dispatch/active_window.rs
@@ -5,12 +5,17 @@
 /// Seconds that a window remembers; twice the longest budget window.
 const SECONDS: usize = 32;
 
+/// Shortest time over which a rate is told: a few requests of a busy host.
+const RATE_SPAN_MIN: Duration = Duration::from_millis(250);
+
 /// Counts events in sliding windows of whole seconds.
 #[derive(Clone, Debug)]
 pub struct ActiveWindow {
     counts: [u32; SECONDS],
     /// The second that was written last.
     latest: u64,
+    /// When the first event was counted.
+    first: Option<MonotonicTime>,
 }
 
 impl Default for ActiveWindow {
@@ -18,6 +23,7 @@
         ActiveWindow {
             counts: [0; SECONDS],
             latest: 0,
+            first: None,
         }
     }
 }
@@ -26,6 +32,7 @@
     /// Counts one event.
     pub fn add(&mut self, now: MonotonicTime) {
         self.advance(now);
+        self.first.get_or_insert(now);
         self.counts[slot_of(self.latest)] += 1;
     }
 
@@ -44,9 +51,12 @@
             .sum()
     }
 
-    /// Events a second over the last `span`.
+    /// Events a second over the last `span`, or since the first event if that
+    /// is later.
     pub fn rate(&mut self, now: MonotonicTime, span: Duration) -> f64 {
-        f64::from(self.count(now, span)) / span.as_secs_f64().max(1.0)
+        let age = self.first.map_or(span, |first| now.since(first));
+        let seconds = span.min(age).max(RATE_SPAN_MIN).as_secs_f64();
+        f64::from(self.count(now, span)) / seconds
     }
 
     fn advance(&mut self, now: MonotonicTime) {
--- a/crates/mangostep-policy/tests/dispatch/cold_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/cold_servers.rs
@@ -2,7 +2,10 @@
 
 use {
     mangostep_objects::RequestKind,
-    mangostep_policy::{ChoiceAsk, PoolSettings, ServerChoice, ServerEntry, ServerPool},
+    mangostep_policy::{
+        AllowanceSettings, ChoiceAsk, PoolSettings, RetryAllowance, ServerChoice, ServerEntry,
+        ServerPool,
+    },
     rand::{SeedableRng, rngs::SmallRng},
 };
 
@@ -142,3 +145,53 @@
         "{worst} in a second: {started:?}"
     );
 }
+
+/// All hosts start again at once while callers come, and half of the servers
+/// are cold: a host's rate is measured over its few moments of service.
+#[test]
+fn hosts_that_start_under_load_spare_cold_servers() {
+    const STARTED: usize = 100;
+    let mut random = SmallRng::seed_from_u64(7);
+    let mut started = [0_u32; 10];
+    let mut hosts: Vec<(ServerPool, RetryAllowance)> = Vec::new();
+    for _ in 0..STARTED {
+        let mut pool = ServerPool::open(PoolSettings::default());
+        pool.set_hosts(STARTED);
+        for index in 0..10 {
+            let cold_left = Duration::from_secs(if index < 5 { 0 } else { 3 });
+            let entry = ServerEntry {
+                cold_left,
+                ..server(index)
+            };
+            pool.put(&entry, Duration::ZERO, at_ms(0));
+        }
+        hosts.push((pool, RetryAllowance::open(AllowanceSettings::default())));
+    }
+    // Twelve requests of each host in its first second.
+    for request in 0..12 {
+        for (host, (pool, allowance)) in hosts.iter_mut().enumerate() {
+            let now = at_ms(request * 80 + host as u64 % 80);
+            allowance.note_request("ledger", now);
+            let rate = allowance.request_rate("ledger", now);
+            let choice = pool.choose(
+                ask(rate, false),
+                Some(COLD_RATE),
+                |_| true,
+                &mut random,
+                now,
+            );
+            let ServerChoice::Send(key) = choice else {
+                continue;
+            };
+            let id = &pool.entry(key).expect("it was chosen").id;
+            started[id[1..].parse::<usize>().expect("ids end with a number")] += 1;
+            pool.start(key, now);
+            pool.finish(key);
+        }
+    }
+    let worst = started[5..].iter().max().copied().unwrap_or_default();
+    assert!(
+        f64::from(worst) <= COLD_RATE * 1.5 + 5.0,
+        "{worst} in a second: {started:?}"
+    );
+}
