Start entry hosts between stand-ins from one place

The scene of the entry tests had its own backend servers, callers and processes. They are stand-ins now: SignedBackend, KeptCaller and EntryFleet, which starts any number of mangostep entry processes with a fault proxy before the store of each host and before each backend server.

--- /dev/null
+++ b/crates/standins/src/entry_fleet/mod.rs
@@ -0,0 +1,366 @@
+//! Starts entry hosts as processes between stand-ins for the platform's store
+//! and backend servers, with fault proxies before the store and each server.
+
+mod configuration;
+mod host;
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use serde_json::json;
+
+use crate::{
+    BackendLog, CallerAsk, KeptCaller, MoodPlan, SignedBackend, SignedBackendSettings,
+    StandinError, TableStandIn,
+    fleet::{AddressBlock, AddressRole, FleetPrograms},
+    proxy::{FaultProxy, ProxyHandle},
+};
+
+pub use self::{
+    configuration::{EntryConfiguration, EntryWorkspace},
+    host::{EntryHost, EntryHostAddresses},
+};
+
+/// Longest time until all hosts of a fleet take callers.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// Longest time that a look-up or a question about readiness takes.
+const PAGE_LIMIT: Duration = Duration::from_millis(500);
+
+/// The agreements of a fleet's operators.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryBounds {
+    /// Time from the signal to stop until a host is to have ended.
+    pub stop_grace: Duration,
+    /// Repeats allowed for each request of a service.
+    pub retry_ratio: f64,
+    /// Repeats allowed besides, over all hosts.
+    pub retry_slack: f64,
+}
+
+impl Default for EntryBounds {
+    fn default() -> Self {
+        EntryBounds {
+            stop_grace: Duration::from_secs(6),
+            retry_ratio: 0.2,
+            retry_slack: 62.0,
+        }
+    }
+}
+
+/// Backend servers of one service.
+#[derive(Clone, Debug)]
+pub struct EntryServerGroup {
+    /// The service.
+    pub service: String,
+    /// Servers in each availability zone.
+    pub per_zone: usize,
+}
+
+/// Settings of an [`EntryFleet`].
+#[derive(Clone, Debug)]
+pub struct EntryFleetSettings {
+    /// Availability zones.
+    pub zones: Vec<String>,
+    /// Entry hosts in each.
+    pub hosts_per_zone: usize,
+    /// Backend servers.
+    pub servers: Vec<EntryServerGroup>,
+    /// Time that a request takes.
+    pub work: Duration,
+    /// What the operators agreed on.
+    pub bounds: EntryBounds,
+    /// The first configuration.
+    pub configuration: EntryConfiguration,
+    /// Whether a plan counts for all backend servers together.
+    pub shares_plan: bool,
+    /// Seed of what the backend servers draw.
+    pub seed: u64,
+}
+
+impl Default for EntryFleetSettings {
+    fn default() -> Self {
+        EntryFleetSettings {
+            zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
+            hosts_per_zone: 2,
+            servers: vec![EntryServerGroup {
+                service: "ledger".to_owned(),
+                per_zone: 2,
+            }],
+            work: Duration::from_millis(5),
+            bounds: EntryBounds::default(),
+            configuration: EntryConfiguration::default(),
+            shares_plan: false,
+            seed: 1,
+        }
+    }
+}
+
+/// A backend server of a fleet, behind its fault proxy.
+#[derive(Debug)]
+pub struct EntryServer {
+    /// The server; none while it is down.
+    pub backend: Option<SignedBackend>,
+    /// Its present name.
+    pub id: String,
+    /// Service that it runs.
+    pub service: String,
+    /// Availability zone.
+    pub zone: String,
+    /// The proxy before it.
+    pub proxy: ProxyHandle,
+    /// Address of the proxy, which the hosts connect to.
+    pub address: SocketAddr,
+    /// Starts of the server so far.
+    pub starts: u32,
+}
+
+/// A fleet of entry hosts with all that it talks to.
+#[derive(Debug)]
+pub struct EntryFleet {
+    /// The platform's store.
+    pub store: TableStandIn,
+    /// Entry hosts.
+    pub hosts: Vec<EntryHost>,
+    /// Backend servers.
+    pub servers: Vec<EntryServer>,
+    /// What reached the backend servers.
+    pub log: BackendLog,
+    settings: EntryFleetSettings,
+    shared_plan: Arc<Mutex<MoodPlan>>,
+    _block: AddressBlock,
+    folder: tempfile::TempDir,
+}
+
+impl EntryFleet {
+    /// Starts a fleet and waits until all hosts take callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a program cannot be built or started, or a host takes no
+    /// callers in time.
+    pub async fn open(settings: EntryFleetSettings) -> Result<Self, StandinError> {
+        let programs = FleetPrograms::build()?;
+        let failed = |err: std::io::Error| StandinError::new("open store", "loopback", err);
+        let (store, store_address) = TableStandIn::open().await.map_err(failed)?;
+        let block = AddressBlock::open()?;
+        let folder = tempfile::tempdir()
+            .map_err(|err| StandinError::new("make folder", "temporary directory", err))?;
+        let count = settings.zones.len() * settings.hosts_per_zone;
+        let addresses: Vec<EntryHostAddresses> = (0..count)
+            .map(|index| EntryHostAddresses::of(block.ip(AddressRole::Host, index)))
+            .collect();
+        let seeds: Vec<SocketAddr> = addresses.iter().take(3).map(|a| a.copies).collect();
+        let mut hosts = Vec::new();
+        for (index, addresses) in addresses.iter().enumerate() {
+            let zone = &settings.zones[index % settings.zones.len()];
+            let (proxy, handle) = open_proxy(store_address).await?;
+            let zones: serde_json::Map<String, serde_json::Value> = settings
+                .zones
+                .iter()
+                .map(|zone| (zone.clone(), json!("home")))
+                .collect();
+            let bounds = settings.bounds;
+            let content = json!({
+                "host": format!("h{index}"), "zone": zone, "region": "home", "zones": zones,
+                "front": addresses.front, "ready": addresses.ready, "lookup": addresses.lookup,
+                "copies": addresses.copies, "peer": addresses.peer,
+                "metrics": addresses.metrics, "seeds": seeds, "store": proxy.to_string(),
+                "bounds": {
+                    "stop_grace_s": bounds.stop_grace.as_secs_f64(),
+                    "retry_ratio": bounds.retry_ratio, "retry_slack": bounds.retry_slack,
+                },
+            });
+            hosts.push(EntryHost::open(
+                format!("h{index}"),
+                zone.clone(),
+                *addresses,
+                handle,
+                programs.mangostep.clone(),
+                folder.path(),
+                &content,
+            )?);
+        }
+        let mut fleet = EntryFleet {
+            store,
+            hosts,
+            servers: Vec::new(),
+            log: BackendLog::default(),
+            settings,
+            shared_plan: Arc::default(),
+            _block: block,
+            folder,
+        };
+        fleet.open_servers().await?;
+        let first = fleet.settings.configuration.clone();
+        fleet.publish(&first);
+        for host in &mut fleet.hosts {
+            host.start().await?;
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn open_servers(&mut self) -> Result<(), StandinError> {
+        let zones = self.settings.zones.clone();
+        for group in self.settings.servers.clone() {
+            for zone in zones.iter().flat_map(|zone| vec![zone; group.per_zone]) {
+                let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+                let (address, proxy) = open_proxy(any).await?;
+                self.servers.push(EntryServer {
+                    backend: None,
+                    id: String::new(),
+                    service: group.service.clone(),
+                    zone: zone.clone(),
+                    proxy,
+                    address,
+                    starts: 0,
+                });
+                self.start_server(self.servers.len() - 1).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts a backend server under a new name, and writes its entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub async fn start_server(&mut self, index: usize) -> Result<(), StandinError> {
+        let server = &mut self.servers[index];
+        server.starts += 1;
+        server.id = format!("i-{index}-{}", server.starts);
+        let settings = SignedBackendSettings {
+            id: server.id.clone(),
+            service: server.service.clone(),
+            work: self.settings.work,
+            seed: self.settings.seed ^ (index as u64) << 16 ^ u64::from(server.starts),
+            plan: match self.settings.shares_plan {
+                true => Arc::clone(&self.shared_plan),
+                false => Arc::default(),
+            },
+        };
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let backend = SignedBackend::open(any, settings, self.log.clone())
+            .await
+            .map_err(|err| StandinError::new("open backend server", &server.id, err))?;
+        let target = crate::proxy::ProxyCommand::Target(backend.address());
+        server.proxy.run(target);
+        server.backend = Some(backend);
+        self.write_entry(index, "ready");
+        Ok(())
+    }
+
+    /// Ends a backend server as a crash does; its entry stays.
+    pub fn stop_server(&mut self, index: usize) {
+        if let Some(backend) = self.servers[index].backend.take() {
+            backend.close();
+        }
+    }
+
+    /// Sets how a backend server treats its next requests.
+    pub fn set_plan(&self, index: usize, plan: MoodPlan) {
+        if let Some(backend) = &self.servers[index].backend {
+            backend.set_plan(plan);
+        }
+    }
+
+    /// Writes the entry of a backend server.
+    pub fn write_entry(&self, index: usize, state: &str) {
+        let server = &self.servers[index];
+        let entry = json!({
+            "service": server.service, "address": server.address, "zone": server.zone,
+            "version": "v1", "slots": 4, "state": state, "warmupLeftS": 0,
+            "born": server.starts,
+        });
+        let text = entry.to_string();
+        self.store.put("servers", &server.id, Some(text.as_bytes()));
+    }
+
+    /// Removes the entry of a backend server.
+    pub fn remove_entry(&self, id: &str) {
+        self.store.put("servers", id, None);
+    }
+
+    /// Publishes a configuration.
+    pub fn publish(&self, configuration: &EntryConfiguration) {
+        let services = self.settings.servers.iter().map(|group| &*group.service);
+        let text = configuration.to_json(services).to_string();
+        self.store.put("op", "config", Some(text.as_bytes()));
+    }
+
+    /// Waits until all hosts take callers.
+    ///
+    /// # Errors
+    ///
+    /// Names the first host that does not in time.
+    pub async fn wait_ready(&self) -> Result<(), StandinError> {
+        let end = tokio::time::Instant::now() + READY_LIMIT;
+        for host in &self.hosts {
+            while !host.is_ready().await {
+                if tokio::time::Instant::now() > end {
+                    let log = host.log_tail();
+                    return Err(StandinError::new("await readiness", host.name(), log));
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// The folder with the hosts' settings and logs.
+    pub fn directory(&self) -> &std::path::Path {
+        self.folder.path()
+    }
+
+    /// Keeps the folder when the fleet is closed.
+    pub fn keep_directory(&mut self) {
+        self.folder.disable_cleanup(true);
+    }
+
+    /// Ends all processes of the fleet.
+    pub fn close(self) {
+        drop(self.hosts);
+        for backend in self.servers.into_iter().filter_map(|server| server.backend) {
+            backend.close();
+        }
+    }
+}
+
+/// Asks a host where callers of a zone connect.
+///
+/// # Errors
+///
+/// Fails when the host gives no answer of use in time.
+pub async fn look_up(host: SocketAddr, zone: &str) -> std::io::Result<Vec<SocketAddr>> {
+    let path = format!("/resolve?name=app.example&region=home&zone={zone}");
+    let mut caller = KeptCaller::open(host, PAGE_LIMIT).await?;
+    let ask = CallerAsk {
+        path: &path,
+        ..Default::default()
+    };
+    let answer = caller.ask(ask, PAGE_LIMIT).await?;
+    #[derive(serde::Deserialize)]
+    struct Addresses {
+        addresses: Vec<SocketAddr>,
+    }
+    let read: Addresses = serde_json::from_str(&answer.body).map_err(std::io::Error::other)?;
+    Ok(read.addresses)
+}
+
+/// Opens a proxy before a target, which runs as long as this process.
+async fn open_proxy(target: SocketAddr) -> Result<(SocketAddr, ProxyHandle), StandinError> {
+    let any = SocketAddr::from((IpAddr::from(Ipv4Addr::LOCALHOST), 0));
+    let failed = |err: std::io::Error| StandinError::new("open proxy", target, err);
+    let proxy = FaultProxy::open(any, any, Some(target))
+        .await
+        .map_err(failed)?;
+    let address = proxy.addresses().map_err(failed)?.address;
+    let handle = proxy.handle();
+    tokio::spawn(proxy.run());
+    Ok((address, handle))
+}
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -39,14 +39,14 @@
 use crate::{
     StandinError,
     backend::RunRecord,
-    fleet::{
-        block::{AddressBlock, AddressRole},
-        programs::FleetPrograms,
-        publish::publish,
-        start::FleetStart,
-    },
+    fleet::{publish::publish, start::FleetStart},
 };
 
+pub(crate) use crate::fleet::{
+    block::{AddressBlock, AddressRole},
+    process::{FleetProcess, ProcessPlan},
+    programs::FleetPrograms,
+};
 pub use crate::fleet::{
     caller::{Caller, CallerAnswer},
     handles::{HostAddresses, HostHandle, PlatformHandle, ProxyHandle, ServerHandle},
--- a/crates/standins/src/fleet/process.rs
+++ b/crates/standins/src/fleet/process.rs
@@ -32,6 +32,8 @@
     Kill,
     /// Asks it to stop in a planned way.
     Terminate,
+    /// Tells it that its settings may have changed.
+    HangUp,
 }
 
 impl ProcessSignal {
@@ -41,6 +43,7 @@
             ProcessSignal::Continue => libc::SIGCONT,
             ProcessSignal::Kill => libc::SIGKILL,
             ProcessSignal::Terminate => libc::SIGTERM,
+            ProcessSignal::HangUp => libc::SIGHUP,
         }
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,10 @@
 //!
 //! * [`platform`]: table service, object store and host directory.
 //! * [`TableStandIn`]: a store of tables with a change feed, with its faults.
+//! * [`SignedBackend`]: backend servers that sign their answers and tell
+//!   whether they ran a request; [`BackendLog`] holds what reached them.
+//! * [`KeptCaller`]: a caller's connection.
+//! * [`entry_fleet`]: starts `mangostep entry` between these.
 //! * [`backend`]: a backend server with slots, cold start and gray failures.
 //! * [`proxy`]: a TCP forwarder with faults by source IP number.
 //! * [`fleet`]: [`fleet::TestFleet`] starts all of these and real entry hosts.
@@ -20,10 +24,13 @@
 mod allocation;
 mod error;
 mod http;
+mod kept_caller;
+mod signed_backend;
 mod table_store;
 mod usage;
 
 pub mod backend;
+pub mod entry_fleet;
 pub mod experiments;
 pub mod fleet;
 pub mod generate;
@@ -37,6 +44,10 @@
     allocation::CountingAllocator,
     error::StandinError,
     http::CutPlace,
+    kept_caller::{CallerAnswer, CallerAsk, KeptCaller},
+    signed_backend::{
+        AnswerMood, BackendArrival, BackendLog, MoodPlan, SignedBackend, SignedBackendSettings,
+    },
     table_store::{StoreMood, TableStandIn},
     usage::ProcessUsage,
 };
--- a/crates/standins/src/proxy/mod.rs
+++ b/crates/standins/src/proxy/mod.rs
@@ -32,6 +32,17 @@
     state: Arc<Mutex<ProxyState>>,
 }
 
+/// Steers a [`FaultProxy`] of the same process.
+#[derive(Clone, Debug)]
+pub struct ProxyHandle(Arc<Mutex<ProxyState>>);
+
+impl ProxyHandle {
+    /// Runs a command.
+    pub fn run(&self, command: ProxyCommand) {
+        lock(&self.0).run(command);
+    }
+}
+
 #[derive(Debug)]
 struct ProxyState {
     target: Option<SocketAddr>,
@@ -66,6 +77,11 @@
         })
     }
 
+    /// A handle that steers the proxy while it runs.
+    pub fn handle(&self) -> ProxyHandle {
+        ProxyHandle(Arc::clone(&self.state))
+    }
+
     /// The addresses that were bound.
     ///
     /// # Errors
