Soak entry hosts under randomized faults

A seed draws faults that come in series and overlap: hosts are killed, stopped, paused and signalled, all of them at once too; the store refuses, loses answers, forgets its history, is cut off from one host either way, or its open connections fall silent; backend servers reset, hang, shed, spoil answers, crash, leave, and are cut off; keys are withdrawn and the configuration grows. What callers and backend servers saw is checked against the promises.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`backend`]: a backend server with slots, cold start and gray failures.
 //! * [`proxy`]: a TCP forwarder with faults by source IP number.
 //! * [`fleet`]: [`fleet::TestFleet`] starts all of these and real entry hosts.
+//! * [`soak`]: randomized faults around such a fleet, and what must hold.
 //! * [`generate`]: object sets of any size.
 //! * [`load`]: callers that send at a steady rate.
 //! * [`tokens`]: when tokens of limits were taken.
@@ -37,6 +38,7 @@
 pub mod load;
 pub mod platform;
 pub mod proxy;
+pub mod soak;
 pub mod tokens;
 pub mod workload;
 
--- /dev/null
+++ b/crates/standins/src/soak/schedule.rs
@@ -0,0 +1,129 @@
+use std::time::Duration;
+
+use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
+
+use crate::{AnswerMood, proxy::LinkRule, soak::SoakSettings};
+
+/// A fault that a soak injects.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SoakFault {
+    /// Kills a host and starts it again after the fault's time.
+    KillHost(usize),
+    /// Stops a host in a planned way and starts it again.
+    StopHost(usize),
+    /// Pauses a host.
+    PauseHost(usize),
+    /// Tells a host that its settings may have changed.
+    HangUpHost(usize),
+    /// Kills all hosts at once.
+    KillAllHosts,
+    /// The store refuses all calls with a status.
+    RefuseCalls(u16),
+    /// The store does the calls and loses the answers.
+    LoseAnswers,
+    /// The store forgets its history.
+    ForgetHistory,
+    /// The way between one host and the store.
+    CutStore(usize, LinkRule),
+    /// Open connections between one host and the store fall silent for good.
+    SilenceStore(usize),
+    /// A backend server treats a share of its requests badly.
+    SpoilServer(usize, AnswerMood, f64),
+    /// The way to a backend server.
+    CutServer(usize, LinkRule),
+    /// Open connections to a backend server fall silent for good.
+    SilenceServer(usize),
+    /// Open connections to a backend server are reset.
+    ResetServer(usize),
+    /// A backend server crashes; another one starts at its address.
+    CrashServer(usize),
+    /// A backend server says that it leaves, and does.
+    DrainServer(usize),
+    /// A key is taken away and another one is given.
+    RevokeKey(usize),
+    /// The configuration grows by many routes.
+    GrowConfiguration(usize),
+}
+
+/// A fault with its times.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct SoakEvent {
+    /// From the start of the faults.
+    pub(crate) at: Duration,
+    /// How long it lasts, where it lasts.
+    pub(crate) span: Duration,
+    pub(crate) fault: SoakFault,
+}
+
+/// Draws the faults of a soak, in the order of their times.
+pub(crate) fn draw(settings: &SoakSettings) -> Vec<SoakEvent> {
+    let mut random = SmallRng::seed_from_u64(settings.seed);
+    let mut events = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        // Faults come in series: some follow the one before at once.
+        let pause = match random.random_bool(0.3) {
+            true => Duration::from_millis(random.random_range(0..80)),
+            false => settings.fault_pause.mul_f64(random.random_range(0.3..2.2)),
+        };
+        at += pause;
+        if at >= settings.duration {
+            return events;
+        }
+        events.push(SoakEvent {
+            at,
+            span: Duration::from_millis(random.random_range(300..3_500)),
+            fault: draw_fault(settings, &mut random),
+        });
+    }
+}
+
+fn draw_fault(settings: &SoakSettings, random: &mut impl Rng) -> SoakFault {
+    let hosts = settings.hosts_per_zone * 3;
+    let servers = (settings.servers_per_zone + settings.servers_per_zone.div_ceil(2)) * 3;
+    let host = random.random_range(0..hosts);
+    let server = random.random_range(0..servers);
+    let moods = [
+        AnswerMood::Resets,
+        AnswerMood::ResetsAfterRun,
+        AnswerMood::Sheds,
+        AnswerMood::RefusesAfterRun,
+        AnswerMood::Fails,
+        AnswerMood::AnswersTwice,
+        AnswerMood::Unsigned,
+        AnswerMood::CutsAnswers,
+        AnswerMood::Slow,
+        AnswerMood::Hangs,
+    ];
+    let rules = [
+        LinkRule::CUT_BOTH,
+        LinkRule::CUT_TO_TARGET,
+        LinkRule::CUT_TO_SOURCE,
+        LinkRule {
+            delay_ms: 120,
+            ..LinkRule::default()
+        },
+    ];
+    let mood = moods[random.random_range(0..moods.len())];
+    let rule = rules[random.random_range(0..rules.len())];
+    match random.random_range(0..100) {
+        0..12 => SoakFault::KillHost(host),
+        12..24 => SoakFault::StopHost(host),
+        24..32 => SoakFault::PauseHost(host),
+        32..34 => SoakFault::HangUpHost(host),
+        34..36 => SoakFault::KillAllHosts,
+        36..40 => SoakFault::RefuseCalls([503, 429][random.random_range(0..2)]),
+        40..43 => SoakFault::LoseAnswers,
+        43..46 => SoakFault::ForgetHistory,
+        46..53 => SoakFault::CutStore(host, rule),
+        53..57 => SoakFault::SilenceStore(host),
+        57..72 => SoakFault::SpoilServer(server, mood, random.random_range(0.3..1.0)),
+        72..78 => SoakFault::CutServer(server, rule),
+        78..82 => SoakFault::SilenceServer(server),
+        82..85 => SoakFault::ResetServer(server),
+        85..89 => SoakFault::CrashServer(server),
+        89..94 => SoakFault::DrainServer(server),
+        94..98 => SoakFault::RevokeKey(random.random_range(0..3)),
+        _ => SoakFault::GrowConfiguration(random.random_range(50..400)),
+    }
+}
--- a/crates/standins/src/table_store.rs
+++ b/crates/standins/src/table_store.rs
@@ -81,6 +81,12 @@
         self.state().history_from = version;
     }
 
+    /// Forgets all changes so far.
+    pub fn forget_all(&self) {
+        let mut state = self.state();
+        state.history_from = state.version;
+    }
+
     fn state(&self) -> MutexGuard<'_, StoreState> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
