Explain a failure's cause, and log and measure what hosts believe

* mangostep explain ends with the cause.
* New lines: a server's belief crosses the threshold (with the signal, its age and who saw it), the host begins or ends to watch, the zone's list changes.
A denied request names the host that counts its workspace.
Unserved requests are warnings.
* New histograms: sends by end, waits for tokens, calls to the store, age of tables, gaps between reports.

A host that lacks a change asks the next host that has it when one does not answer, instead of waiting for the next report; connecting is given 250 ms.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     back::BackPools,
+    clock,
     peers::{PeerPort, TableMark},
     platform::FleetTable,
     prelude::*,
@@ -97,6 +98,9 @@
     pub(crate) changed_bytes: usize,
     /// Whether the table was read at least once.
     pub(crate) is_known: bool,
+    /// When the copy was last known to be current: it was read, or a watcher
+    /// told of the same one.
+    pub(crate) confirmed: MonotonicTime,
 }
 
 impl TableState {
@@ -132,6 +136,13 @@
         self.snapshot.borrow().is_some() && self.tables.borrow().of(FleetTable::Servers).is_known
     }
 
+    /// Takes note of whether the store answered a call.
+    pub(crate) fn note_store(&self, is_answered: bool) {
+        self.store_failed.set(!is_answered);
+        let mut hosts = self.hosts.borrow_mut();
+        hosts.note_store(is_answered, clock::now());
+    }
+
     pub(crate) fn snapshot(&self) -> Option<Rc<Snapshot>> {
         self.snapshot.borrow().clone()
     }
--- /dev/null
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -0,0 +1,206 @@
+use std::collections::HashSet;
+
+use {
+    mangostep_objects::{ObjectSet, Snapshot},
+    mangostep_policy::{CopyDelta, CopyRow, HostRow, ServerEntry},
+    slog::{info, warn},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+use crate::{
+    clock,
+    platform::{FleetTable, OperatorRow, Platform},
+    prelude::*,
+};
+
+/// Takes over what a reading of a table showed.
+pub(super) fn apply<P: Platform>(
+    context: &HostContext,
+    platform: &P,
+    table: FleetTable,
+    delta: CopyDelta,
+    source: &'static str,
+) {
+    let (version, is_first, changed, total) = {
+        let mut tables = context.tables.borrow_mut();
+        let state = tables.of_mut(table);
+        let is_first = !state.is_known;
+        let version = delta.version;
+        let total = state.copy.rows().count();
+        let changed = state.copy.apply_unless(delta, |known, new| {
+            table == FleetTable::Servers && is_heartbeat(platform, known, new)
+        });
+        state.is_known = true;
+        state.confirmed = clock::now();
+        let sizes = changed
+            .iter()
+            .map(|row| row.value.as_ref().map_or(0, Vec::len));
+        state.changed_bytes = sizes.sum();
+        (version, is_first, changed, total)
+    };
+    if !changed.is_empty() {
+        info!(context.log, "table changed"; "table" => table.as_str(), "source" => source,
+            "version" => version, "rows" => changed.len());
+    }
+    match table {
+        FleetTable::Operator => apply_operator(context, platform, &changed),
+        FleetTable::Servers => apply_servers(context, platform, &changed, is_first, total),
+        FleetTable::Hosts => apply_hosts(context, &changed),
+    }
+    if !changed.is_empty() || is_first {
+        let digest = digest_of(context, platform, table);
+        context.tables.borrow_mut().of_mut(table).digest = digest;
+        context.report_wake.notify_one();
+    }
+}
+
+/// Whether a row of a backend server only shows that it lives. What a cold
+/// server writes tells how long it stays so.
+fn is_heartbeat<P: Platform>(platform: &P, known: &[u8], new: &[u8]) -> bool {
+    let decode = |value| platform.decode_server_row("", value).ok();
+    let known = decode(known);
+    known.is_some() && known == decode(new) && known.is_some_and(|k| k.cold_left.is_zero())
+}
+
+/// A digest of what the rows of a table say, alike on all hosts that read the
+/// same changes. What backend servers write with each heartbeat is left out.
+fn digest_of<P: Platform>(context: &HostContext, platform: &P, table: FleetTable) -> u64 {
+    let tables = context.tables.borrow();
+    let rows = tables.of(table).copy.rows();
+    let digests = rows.map(|(key, value)| match table {
+        FleetTable::Servers => {
+            let entry = platform.decode_server_row(key, value).ok();
+            let entry = entry.map(|entry| ServerEntry {
+                cold_left: Duration::ZERO,
+                ..entry
+            });
+            xxh3_64(format!("{key} {entry:?}").as_bytes())
+        }
+        FleetTable::Operator | FleetTable::Hosts => xxh3_64(key.as_bytes()) ^ xxh3_64(value),
+    });
+    digests.fold(1, u64::wrapping_add)
+}
+
+fn apply_operator<P: Platform>(context: &HostContext, platform: &P, changed: &[CopyRow]) {
+    for row in changed {
+        let Some(value) = &row.value else {
+            continue;
+        };
+        match platform.decode_operator_row(&row.key, value) {
+            Ok(OperatorRow::Configuration { version, set }) => {
+                apply_configuration(context, version, &set);
+            }
+            Ok(OperatorRow::ZoneOut(_) | OperatorRow::Other) => {}
+            Err(err) => {
+                warn!(context.log, "operator row refused"; "row" => &row.key,
+                    "error" => err.to_string());
+            }
+        }
+    }
+    if !changed.is_empty() {
+        apply_zones(context, platform);
+    }
+}
+
+fn apply_configuration(context: &HostContext, version: u64, set: &ObjectSet) {
+    let current = context.snapshot().map(|snapshot| snapshot.version());
+    if current.is_some_and(|current| current >= version) {
+        return;
+    }
+    if let Err(err) = set.check() {
+        warn!(context.log, "configuration refused"; "version" => version, "kept" => current,
+            "error" => err.to_string());
+        return;
+    }
+    let snapshot = Snapshot::compile(version, set);
+    info!(context.log, "configuration in force"; "version" => version, "before" => current,
+        "routes" => set.routes.len(), "workspaces" => set.workspaces.len());
+    *context.snapshot.borrow_mut() = Some(Rc::new(snapshot));
+}
+
+fn apply_zones<P: Platform>(context: &HostContext, platform: &P) {
+    let zones: HashSet<String> = {
+        let tables = context.tables.borrow();
+        let rows = tables.of(FleetTable::Operator).copy.rows();
+        rows.filter_map(
+            |(key, value)| match platform.decode_operator_row(key, value) {
+                Ok(OperatorRow::ZoneOut(zone)) => Some(zone),
+                _ => None,
+            },
+        )
+        .collect()
+    };
+    let cold = longest_cold_ramp(context);
+    info!(context.log, "zones out"; "zones" => format!("{zones:?}"));
+    let mut pool = context.pool.borrow_mut();
+    pool.set_zones_out(zones, cold, clock::now());
+}
+
+fn longest_cold_ramp(context: &HostContext) -> Duration {
+    let snapshot = context.snapshot();
+    let ramps = snapshot
+        .iter()
+        .flat_map(|s| s.services())
+        .map(|s| s.cold_ramp);
+    ramps.max().unwrap_or_default()
+}
+
+fn apply_servers<P: Platform>(
+    context: &HostContext,
+    platform: &P,
+    changed: &[CopyRow],
+    is_first: bool,
+    total: usize,
+) {
+    let now = clock::now();
+    let removed = changed.iter().filter(|row| row.value.is_none()).count();
+    let hold = context.lapse.borrow().hold_until(now, removed, total);
+    let joining_cold = match is_first {
+        true => Duration::ZERO,
+        false => longest_cold_ramp(context),
+    };
+    let mut pool = context.pool.borrow_mut();
+    for row in changed {
+        let Some(value) = &row.value else {
+            match hold {
+                Some(until) => pool.hold(&row.key, until),
+                None => drop(pool.remove(&row.key)),
+            }
+            info!(context.log, "server entry removed"; "server" => &row.key,
+                "held" => hold.is_some());
+            continue;
+        };
+        match platform.decode_server_row(&row.key, value) {
+            Ok(entry) => {
+                info!(context.log, "server entry"; "server" => &entry.id,
+                    "service" => &entry.service, "address" => entry.address.to_string(),
+                    "zone" => &entry.zone, "draining" => entry.is_draining,
+                    "cold_ms" => entry.cold_left.as_millis() as u64);
+                pool.put(&entry, joining_cold, now);
+            }
+            Err(err) => {
+                warn!(context.log, "server entry refused"; "row" => &row.key,
+                    "error" => err.to_string());
+                pool.remove(&row.key);
+            }
+        }
+    }
+}
+
+fn apply_hosts(context: &HostContext, changed: &[CopyRow]) {
+    let mut hosts = context.hosts.borrow_mut();
+    for row in changed {
+        let Some(value) = &row.value else {
+            hosts.remove(&row.key);
+            continue;
+        };
+        match serde_json::from_slice::<HostRow>(value) {
+            Ok(host) => hosts.put(host),
+            Err(err) => {
+                warn!(context.log, "host row refused"; "row" => &row.key,
+                    "error" => err.to_string());
+            }
+        }
+    }
+    context.pool.borrow_mut().set_hosts(hosts.rows().count());
+}
--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -6,7 +6,7 @@
     mangostep_objects::{RequestKind, Route, RouteAccess, Service, Snapshot},
     mangostep_policy::{SplitTurn, TokenVerdict},
     rand::RngExt,
-    slog::info,
+    slog::{info, warn},
     tokio::time::Instant,
 };
 
@@ -44,6 +44,8 @@
     pub(crate) servers: String,
     pub(crate) chance: f64,
     pub(crate) detail: &'static str,
+    /// The host that denied a token, or `alone` where this one did.
+    pub(crate) home: String,
 }
 
 impl RequestStory {
@@ -155,8 +157,9 @@
     if let Some(name) = planned.workspace
         && let Some(limit) = snapshot.limit_of(name)
     {
-        let verdict = peers::ask_token(context, name, limit).await;
-        if let TokenVerdict::Denied(after) = verdict {
+        let answer = peers::ask_token(context, name, limit).await;
+        if let TokenVerdict::Denied(after) = answer.verdict {
+            story.home = answer.home.unwrap_or_else(|| "alone".to_owned());
             // Whoever counts what a service did not serve counts these too.
             let mut pool = context.pool.borrow_mut();
             pool.note_ended(service, false, 0.0, clock::now());
@@ -205,20 +208,26 @@
         Some(RequestKind::NonIdempotent) => "non-idempotent",
         None => "",
     };
-    info!(context.log, "request ended";
-        "id" => head.text(sending::ID_HEADER).unwrap_or_default(),
-        "route" => route,
-        "workspace" => workspace,
+    let values = slog::o!(
+        "id" => head.text(sending::ID_HEADER).unwrap_or_default().to_owned(),
+        "route" => route.to_owned(),
+        "workspace" => workspace.to_owned(),
         "kind" => kind,
         "version" => snapshot.version(),
         "outcome" => outcome,
         "status" => status.as_u16(),
         "detail" => story.detail,
         "sends" => story.sends,
-        "servers" => story.servers.as_str(),
+        "servers" => story.servers.clone(),
+        "home" => story.home.clone(),
         "chance" => (story.chance * 1000.0).round() / 1000.0,
         "ms" => request.arrived.elapsed().as_millis() as u64,
     );
+    // Failures find room in the log before successes do.
+    match status.is_success() {
+        true => info!(context.log, "request ended"; values),
+        false => warn!(context.log, "request ended"; values),
+    }
 }
 
 /// Whether a request may run more than once.
--- a/crates/mangostep-entry/src/forward/running.rs
+++ b/crates/mangostep-entry/src/forward/running.rs
@@ -1,8 +1,12 @@
 use std::cell::Cell;
 
-use mangostep_policy::{ServerKey, ServerSignal, SignalReach};
+use mangostep_policy::{ServerKey, ServerPool, ServerSignal, SignalReach};
 
-use crate::{clock, peers, prelude::*};
+use crate::{
+    belief::{ShiftCause, log_shift},
+    clock, peers,
+    prelude::*,
+};
 
 /// A request at a backend server, counted from its sending to its end, also
 /// when the caller leaves midway.
@@ -40,12 +44,22 @@
         let now = clock::now();
         self.has_stalled.set(true);
         let mut pool = self.context.pool.borrow_mut();
-        pool.note_own(self.key, ServerSignal::Stall, self.sent, now);
+        self.note(&mut pool, ServerSignal::Stall, now);
         drop(pool);
         let signal = Some(ServerSignal::Stall);
         peers::tell_signal(&self.context, self.key, signal, self.sent, self.reach);
     }
 
+    fn note(&self, pool: &mut ServerPool, signal: ServerSignal, now: MonotonicTime) {
+        let shift = pool.note_own(self.key, signal, self.sent, now);
+        let cause = ShiftCause {
+            signal,
+            age: now.since(self.sent),
+            seen_by: &self.context.settings.host,
+        };
+        log_shift(&self.context, pool, self.key, shift, &cause);
+    }
+
     /// Ends the request with what it showed of the server.
     pub(crate) fn close(mut self, signal: ServerSignal) {
         self.end(signal);
@@ -60,7 +74,7 @@
         };
         let mut pool = self.context.pool.borrow_mut();
         pool.finish(self.key);
-        pool.note_own(self.key, signal, self.sent, clock::now());
+        self.note(&mut pool, signal, clock::now());
         drop(pool);
         peers::tell_signal(&self.context, self.key, Some(signal), self.sent, self.reach);
     }
--- a/crates/mangostep-entry/src/forward/sending.rs
+++ b/crates/mangostep-entry/src/forward/sending.rs
@@ -251,6 +251,9 @@
             let mut pool = self.context.pool.borrow_mut();
             pool.note_length(&planned.service.name, started.elapsed());
         }
+        let service = &planned.service.name;
+        let counters = &self.context.counters;
+        counters.record_attempt(service, signal.as_str(), started.elapsed());
         running.close(signal);
         end
     }
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -243,7 +243,19 @@
         }
     };
     let mut pause = HOST_ROW_PAUSE;
-    while let Err(fault) = platform.put_host(&row.name, &value).await {
+    loop {
+        let started = clock::now();
+        let written = platform.put_host(&row.name, &value).await;
+        let end = written
+            .as_ref()
+            .map_or_else(|fault| fault.kind.as_str(), |()| "answered");
+        let time = clock::now().since(started);
+        context
+            .counters
+            .record_store_call("write", FleetTable::Hosts.as_str(), end, time);
+        let Err(fault) = written else {
+            return;
+        };
         warn!(context.log, "own row not written"; "error" => fault.to_string());
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(HOST_ROW_PAUSE_MAX);
--- a/crates/mangostep-entry/src/lib.rs
+++ b/crates/mangostep-entry/src/lib.rs
@@ -26,6 +26,7 @@
 //! ```
 
 mod back;
+mod belief;
 mod clock;
 mod context;
 mod error;
--- a/crates/mangostep-entry/src/peers/copies.rs
+++ b/crates/mangostep-entry/src/peers/copies.rs
@@ -13,8 +13,12 @@
 
 use crate::{front::accept_each, platform::FleetTable, prelude::*};
 
+/// Longest time to connect to another host: many passes between zones. The next
+/// host that has the copy is asked sooner than a cut way shows.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Longest time to read a copy from another host.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+const READ_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Largest delta, in bytes: twice the servers of the target size.
 const DELTA_BYTES_MAX: u32 = 8 << 20;
@@ -65,7 +69,8 @@
     address: SocketAddr,
 ) -> Result<Option<CopyDelta>, EntryError> {
     let read = async {
-        let mut stream = TcpStream::connect(address).await?;
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let mut stream = connecting.await.map_err(io::Error::from)??;
         stream.set_nodelay(true)?;
         write_frame(&mut stream, &CopyQuestion { table, after }).await?;
         read_frame(&mut stream).await
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    belief::{ShiftCause, log_shift},
     clock,
     peers::BehindTable,
     peers::messages::{HostReport, PeerMessage, SignalReport, TokenQuestion, decode, encode},
@@ -60,6 +61,9 @@
     if let Some(row) = report.row.filter(|row| hosts.row(&row.name) != Some(row)) {
         hosts.put(row);
     }
+    if let Some(gap) = hosts.report_gap(&report.host, now) {
+        context.counters.record_report_gap(gap);
+    }
     let is_ready = report.report.is_ready;
     let is_near = hosts
         .row(&report.host)
@@ -73,10 +77,13 @@
     for list in report.lists {
         hosts.note_list(&report.host, list, now);
     }
-    let tables = context.tables.borrow();
+    let mut tables = context.tables.borrow_mut();
     let mut behind = context.peers.behind.borrow_mut();
     for mark in report.tables {
-        let own = tables.of(mark.table);
+        let own = tables.of_mut(mark.table);
+        if own.digest == mark.digest {
+            own.confirmed = now;
+        }
         if let Some((address, link_mbps)) = source.filter(|_| own.lacks(&mark) || !own.is_known) {
             let sources = behind.entry(mark.table).or_default();
             sources.push(BehindTable {
@@ -106,7 +113,13 @@
         None => pool.note_start(key, now),
         Some(signal) => {
             let age = Duration::from_millis(report.age_ms.into());
-            pool.note(key, signal, now - age, now);
+            let shift = pool.note(key, signal, now - age, now);
+            let cause = ShiftCause {
+                signal,
+                age,
+                seen_by: from,
+            };
+            log_shift(context, &pool, key, shift, &cause);
         }
     }
 }
--- a/crates/mangostep-entry/src/peers/reporting.rs
+++ b/crates/mangostep-entry/src/peers/reporting.rs
@@ -72,6 +72,14 @@
     for peer in near.chain(hosts.far_targets(turn, now)) {
         context.peers.send(&bytes, peer);
     }
+    for table in FleetTable::ALL {
+        let tables = context.tables.borrow();
+        let state = tables.of(table);
+        if state.is_known {
+            let age = now.since(state.confirmed);
+            context.counters.record_table_age(table.as_str(), age);
+        }
+    }
     let unsent = context.peers.unsent.take();
     if unsent > 0 {
         info!(context.log, "datagrams not sent"; "count" => unsent);
@@ -90,6 +98,11 @@
     if *sent == lists && !turn.is_multiple_of(LIST_TURNS) {
         return Vec::new();
     }
+    let own = lists.iter().find(|list| list.zone == hosts.own().zone);
+    if let Some(own) = own.filter(|own| hosts.makes_list(now) && !sent.contains(*own)) {
+        info!(context.log, "zone list"; "named" => own.named.join(" "),
+            "serving" => own.serving.len());
+    }
     sent.clone_from(&lists);
     lists
 }
--- a/crates/mangostep-entry/src/peers/tokens.rs
+++ b/crates/mangostep-entry/src/peers/tokens.rs
@@ -27,6 +27,14 @@
 /// are known.
 const SPLIT_MIN: usize = 8;
 
+/// The answer to an ask for a token, and who gave it.
+pub(crate) struct TokenAnswer {
+    pub(crate) verdict: TokenVerdict,
+    /// The host that counts the workspace's tokens; none where this host
+    /// granted a part of the limit alone.
+    pub(crate) home: Option<String>,
+}
+
 /// Takes a token of a workspace from its home.
 ///
 /// While no home answers, the host grants its own part of the limit.
@@ -34,14 +42,21 @@
     context: &HostContext,
     workspace: &str,
     limit: &Limit,
-) -> TokenVerdict {
+) -> TokenAnswer {
     let homes = homes_of(context, workspace);
     for (name, address) in homes {
         if name == context.settings.host {
-            return ask_here(context, workspace, limit.rate_per_s, limit.burst);
+            let verdict = ask_here(context, workspace, limit.rate_per_s, limit.burst);
+            let home = Some(name);
+            return TokenAnswer { verdict, home };
         }
-        if let Some(verdict) = ask_home(context, workspace, limit, address).await {
-            return verdict;
+        let asked = clock::now();
+        let answer = ask_home(context, workspace, limit, address).await;
+        let waited = clock::now().since(asked);
+        context.counters.record_token_wait("remote", waited);
+        if let Some(verdict) = answer {
+            let home = Some(name);
+            return TokenAnswer { verdict, home };
         }
         warn!(context.log, "token home silent"; "home" => &name, "workspace" => workspace);
         let until = clock::now() + SILENCE_SPAN;
@@ -50,12 +65,11 @@
     context.counters.count("token-granted-alone", &[]);
     let hosts = context.hosts.borrow().active(clock::now()).max(SPLIT_MIN) as f64;
     let own = format!("{workspace} alone");
-    ask_here(
-        context,
-        &own,
-        limit.rate_per_s / hosts,
-        (limit.burst / hosts / 2.0).max(1.0),
-    )
+    let burst = (limit.burst / hosts / 2.0).max(1.0);
+    TokenAnswer {
+        verdict: ask_here(context, &own, limit.rate_per_s / hosts, burst),
+        home: None,
+    }
 }
 
 /// The homes to ask, without those that did not answer a moment ago.
--- a/crates/mangostep-entry/src/platform.rs
+++ b/crates/mangostep-entry/src/platform.rs
@@ -81,6 +81,18 @@
     Malformed,
 }
 
+impl StoreFaultKind {
+    /// The kind's name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StoreFaultKind::HistoryGone => "history-gone",
+            StoreFaultKind::Refused => "refused",
+            StoreFaultKind::NoAnswer => "no-answer",
+            StoreFaultKind::Malformed => "malformed",
+        }
+    }
+}
+
 /// A call to the platform's store that gave no answer of use.
 #[derive(Debug)]
 pub struct StoreFault {
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -249,6 +249,11 @@
         was_ready != is_ready
     }
 
+    /// Time since a host was heard of last; none before the first time.
+    pub fn report_gap(&self, name: &str, now: MonotonicTime) -> Option<Duration> {
+        self.seen.get(name).map(|seen| now.since(seen.heard))
+    }
+
     /// Takes note of how a call of this host to the store ended.
     pub fn note_store(&mut self, is_answered: bool, now: MonotonicTime) {
         self.own_refusal = (!is_answered).then_some(now);
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -30,8 +30,8 @@
     retry_allowance::{AllowanceSettings, RetryAllowance},
     server_entry::ServerEntry,
     server_pool::{
-        ChoiceAsk, ChoiceRefusal, PeerKey, ServerChoice, ServerKey, ServerPool, ServerSignal,
-        SignalReach,
+        BeliefShift, ChoiceAsk, ChoiceRefusal, PeerKey, ServerChoice, ServerKey, ServerPool,
+        ServerSignal, SignalReach,
     },
     split_turn::SplitTurn,
     table_copy::{CopyDelta, CopyRow, TableCopy},
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -102,6 +102,21 @@
 }
 
 impl ServerSignal {
+    /// The name of the signal in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ServerSignal::Success => "success",
+            ServerSignal::Failure => "lost",
+            ServerSignal::Error => "error",
+            ServerSignal::Stall => "stall",
+            ServerSignal::Shed => "shed",
+            ServerSignal::Unreachable => "unreachable",
+            ServerSignal::Refused => "refused",
+            ServerSignal::Misdirected => "misdirected",
+            ServerSignal::Nothing => "none",
+        }
+    }
+
     /// Whether the signal speaks against the server.
     pub fn is_failure(self) -> bool {
         !matches!(
@@ -111,6 +126,17 @@
     }
 }
 
+/// A server that is suspected of failing now, or no longer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BeliefShift {
+    /// Chance of a failure before the last outcome.
+    pub before: f64,
+    /// The same after it.
+    pub after: f64,
+    /// Whether the server is suspected now.
+    pub is_suspected: bool,
+}
+
 /// Which hosts learn of a request at a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SignalReach {
@@ -413,31 +439,47 @@
     }
 
     /// Takes note of what an attempt of this host showed of a server. Its
-    /// request was sent at `sent`.
+    /// request was sent at `sent`. Tells if the server is now suspected, or no
+    /// longer.
     pub fn note_own(
         &mut self,
         key: ServerKey,
         signal: ServerSignal,
         sent: MonotonicTime,
         now: MonotonicTime,
-    ) {
+    ) -> Option<BeliefShift> {
+        let before = self.chance(key, now);
         if let Some(record) = self.servers.get_mut(key)
             && !matches!(signal, ServerSignal::Error | ServerSignal::Misdirected)
         {
             let settings = &self.settings.own_path;
             record.own_path.note(settings, signal, sent, now);
         }
-        self.note(key, signal, sent, now);
+        self.note_shared(key, signal, sent, now);
+        self.shift_from(before, key, now)
     }
 
-    /// Takes note of what an attempt of any host showed of a server. Its
-    /// request was sent at `sent`.
+    /// Takes note of what an attempt of another host showed of a server. Its
+    /// request was sent at `sent`. Tells if the server is now suspected, or no
+    /// longer.
     pub fn note(
         &mut self,
         key: ServerKey,
         signal: ServerSignal,
         sent: MonotonicTime,
         now: MonotonicTime,
+    ) -> Option<BeliefShift> {
+        let before = self.chance(key, now);
+        self.note_shared(key, signal, sent, now);
+        self.shift_from(before, key, now)
+    }
+
+    fn note_shared(
+        &mut self,
+        key: ServerKey,
+        signal: ServerSignal,
+        sent: MonotonicTime,
+        now: MonotonicTime,
     ) {
         let Some(record) = self.servers.get_mut(key) else {
             return;
@@ -452,6 +494,17 @@
         }
     }
 
+    fn shift_from(&self, before: f64, key: ServerKey, now: MonotonicTime) -> Option<BeliefShift> {
+        let after = self.chance(key, now);
+        let is_suspected = |chance: f64| chance > self.settings.suspected_chance;
+        let shift = BeliefShift {
+            before,
+            after,
+            is_suspected: is_suspected(after),
+        };
+        (is_suspected(before) != shift.is_suspected).then_some(shift)
+    }
+
     /// Takes note that a service has a request that may be repeated, and
     /// whether the retry budget has room for it.
     pub fn note_repeatable(&mut self, service: &str, has_room: bool, now: MonotonicTime) {
--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -50,12 +50,12 @@
 pub use crate::{
     detection::{BaselineSettings, ConsecutiveErrorDetector, DetectionSettings, GrayDetector},
     dispatch::{
-        ActiveWindow, AllowanceSettings, ChoiceAsk, ChoiceRefusal, CopyDelta, CopyRow, CopySource,
-        EvidenceSettings, HostRow, HostTable, HostTableSettings, LapseRule, LapseSettings,
-        LedgerAsk, LedgerSettings, OutcomeChances, PeerKey, PeerReport, PeerSighting, PoolSettings,
-        ReadState, ReadTimer, RetryAllowance, ServerChoice, ServerEntry, ServerEvidence, ServerKey,
-        ServerPool, ServerSignal, SignalReach, SplitTurn, TableCopy, TokenLedger, TokenVerdict,
-        ZoneList,
+        ActiveWindow, AllowanceSettings, BeliefShift, ChoiceAsk, ChoiceRefusal, CopyDelta, CopyRow,
+        CopySource, EvidenceSettings, HostRow, HostTable, HostTableSettings, LapseRule,
+        LapseSettings, LedgerAsk, LedgerSettings, OutcomeChances, PeerKey, PeerReport,
+        PeerSighting, PoolSettings, ReadState, ReadTimer, RetryAllowance, ServerChoice,
+        ServerEntry, ServerEvidence, ServerKey, ServerPool, ServerSignal, SignalReach, SplitTurn,
+        TableCopy, TokenLedger, TokenVerdict, ZoneList,
     },
     lease::{
         Confirmation, HOMES, HolderPlanner, HostLease, HostStamp, LeaseRules, LeaseTimes, LiveHost,
--- a/crates/mangostep-policy/tests/dispatch/failing_spells.rs
+++ b/crates/mangostep-policy/tests/dispatch/failing_spells.rs
@@ -87,7 +87,9 @@
     let mut pool = pool_of(4);
     let mut random = SmallRng::seed_from_u64(3);
     let failed = pool.find("s0").expect("known");
-    (0..3).for_each(|_| pool.note_own(failed, ServerSignal::Failure, at_ms(0), at_ms(0)));
+    for _ in 0..3 {
+        pool.note_own(failed, ServerSignal::Failure, at_ms(0), at_ms(0));
+    }
     let mut first = None;
     for step in 0..400_u64 {
         let now = at_ms(step * 20);
@@ -261,7 +263,9 @@
     let mut pool = pool_of(2);
     let mut random = SmallRng::seed_from_u64(4);
     let [failing, other] = ["s0", "s1"].map(|id| pool.find(id).expect("known"));
-    (0..5).for_each(|_| pool.note_own(failing, ServerSignal::Success, at_ms(0), at_ms(0)));
+    for _ in 0..5 {
+        pool.note_own(failing, ServerSignal::Success, at_ms(0), at_ms(0));
+    }
     pool.note_own(failing, ServerSignal::Failure, at_ms(200), at_ms(202));
     let before = pool.chance(failing, at_ms(250));
     for _ in 0..3 {
@@ -277,13 +281,35 @@
     assert!(pool.chance(failing, at_ms(500)) < 0.05);
 }
 
+/// What changes the belief in a server is told once, for the log.
+#[test]
+fn a_server_is_told_to_be_suspected_when_it_begins_to_be() {
+    let mut pool = pool_of(1);
+    let server = pool.find("s0").expect("known");
+    for _ in 0..5 {
+        pool.note(server, ServerSignal::Success, at_ms(0), at_ms(0));
+    }
+    let mut shifts = Vec::new();
+    for at in [200, 210, 220] {
+        shifts.extend(pool.note(server, ServerSignal::Failure, at_ms(at), at_ms(at)));
+    }
+    assert!(shifts.len() == 1 && shifts[0].is_suspected, "{shifts:?}");
+    assert!(shifts[0].before < shifts[0].after);
+    for at in 300..320 {
+        shifts.extend(pool.note(server, ServerSignal::Success, at_ms(at), at_ms(at)));
+    }
+    assert!(shifts.len() == 2 && !shifts[1].is_suspected, "{shifts:?}");
+}
+
 /// Sound servers give one error in a hundred answers.
 #[test]
 fn a_single_error_answer_weighs_less_than_a_reset() {
     let mut pool = pool_of(2);
     let [reset, error] = ["s0", "s1"].map(|id| pool.find(id).expect("known"));
     for key in [reset, error] {
-        (0..5).for_each(|_| pool.note(key, ServerSignal::Success, at_ms(0), at_ms(100)));
+        for _ in 0..5 {
+            pool.note(key, ServerSignal::Success, at_ms(0), at_ms(100));
+        }
     }
     pool.note(reset, ServerSignal::Failure, at_ms(300), at_ms(302));
     pool.note(error, ServerSignal::Error, at_ms(300), at_ms(500));
@@ -300,7 +326,9 @@
     for _ in 0..3 {
         pool.note_own(cut, ServerSignal::Unreachable, at_ms(0), at_ms(0));
     }
-    (0..20).for_each(|_| pool.note(cut, ServerSignal::Success, at_ms(1), at_ms(1)));
+    for _ in 0..20 {
+        pool.note(cut, ServerSignal::Success, at_ms(1), at_ms(1));
+    }
     for step in 0..50 {
         let now = at_ms(2 + step);
         assert_ne!(
@@ -318,7 +346,9 @@
     let [refusing, misdirecting, silent, sound] =
         ["s0", "s1", "s2", "s3"].map(|id| pool.find(id).expect("known"));
     for key in [refusing, misdirecting, silent, sound] {
-        (0..5).for_each(|_| pool.note(key, ServerSignal::Success, at_ms(0), at_ms(100)));
+        for _ in 0..5 {
+            pool.note(key, ServerSignal::Success, at_ms(0), at_ms(100));
+        }
     }
     let before = pool.chance(silent, at_ms(200));
     pool.note(refusing, ServerSignal::Refused, at_ms(200), at_ms(200));
@@ -340,7 +370,9 @@
     let mut pool = pool_of(3);
     let mut random = SmallRng::seed_from_u64(2);
     let failing = pool.find("s2").expect("known");
-    (0..3).for_each(|_| pool.note_own(failing, ServerSignal::Failure, at_ms(0), at_ms(0)));
+    for _ in 0..3 {
+        pool.note_own(failing, ServerSignal::Failure, at_ms(0), at_ms(0));
+    }
     for id in ["s0", "s1"] {
         let key = pool.find(id).expect("known");
         pool.note_own(key, ServerSignal::Shed, at_ms(1), at_ms(1));
--- a/crates/mangostep-telemetry/src/counters.rs
+++ b/crates/mangostep-telemetry/src/counters.rs
@@ -12,8 +12,8 @@
 use crate::TelemetryError;
 
 /// Bounds of the latency histograms, in seconds.
-const LATENCY_BOUNDS_S: [f64; 12] = [
-    0.0005, 0.001, 0.0018, 0.003, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0,
+const LATENCY_BOUNDS_S: [f64; 15] = [
+    0.0005, 0.001, 0.0018, 0.003, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 30.0,
 ];
 
 /// A label: its name and its value, from a bounded set.
@@ -37,6 +37,14 @@
     /// Time that requests waited for a token, by the `place` of the home that
     /// was asked first.
     token_wait: Histogram<f64>,
+    /// Time of one send to a backend server, by `service` and `end`.
+    attempt: Histogram<f64>,
+    /// Time of one call to the platform's store, by `call`, `table` and `end`.
+    store_call: Histogram<f64>,
+    /// Time since a copy of a table was known to be current, by `table`.
+    table_age: Histogram<f64>,
+    /// Time between two reports of another host.
+    report_gap: Histogram<f64>,
     /// Everything else, by `kind` and further labels.
     events: Counter<u64>,
 }
@@ -61,6 +69,10 @@
             latency: latency_histogram(&meter, "mangostep_answer_latency"),
             slot_wait: latency_histogram(&meter, "mangostep_slot_wait"),
             token_wait: latency_histogram(&meter, "mangostep_token_wait"),
+            attempt: latency_histogram(&meter, "mangostep_attempt"),
+            store_call: latency_histogram(&meter, "mangostep_store_call"),
+            table_age: latency_histogram(&meter, "mangostep_table_age"),
+            report_gap: latency_histogram(&meter, "mangostep_report_gap"),
             events: meter.u64_counter("mangostep_events").build(),
             registry,
             provider,
@@ -93,6 +105,35 @@
         self.token_wait.record(wait.as_secs_f64(), &labels);
     }
 
+    /// Records the time of one send to a backend server, and how it ended.
+    pub fn record_attempt(&self, service: &str, end: &'static str, time: Duration) {
+        let labels = key_values(&[("service", service), ("end", end)]);
+        self.attempt.record(time.as_secs_f64(), &labels);
+    }
+
+    /// Records the time of one call to the platform's store, and how it ended.
+    pub fn record_store_call(
+        &self,
+        call: &'static str,
+        table: &'static str,
+        end: &'static str,
+        time: Duration,
+    ) {
+        let labels = key_values(&[("call", call), ("table", table), ("end", end)]);
+        self.store_call.record(time.as_secs_f64(), &labels);
+    }
+
+    /// Records the time since the copy of a table was known to be current.
+    pub fn record_table_age(&self, table: &'static str, age: Duration) {
+        let labels = [KeyValue::new("table", table)];
+        self.table_age.record(age.as_secs_f64(), &labels);
+    }
+
+    /// Records the time between two reports of another host.
+    pub fn record_report_gap(&self, gap: Duration) {
+        self.report_gap.record(gap.as_secs_f64(), &[]);
+    }
+
     /// Counts something by a fixed kind, such as `ejection-granted`.
     pub fn count(&self, kind: &'static str, labels: &[CounterLabel<'_>]) {
         self.add(kind, 1, labels);
--- a/crates/mangostep-telemetry/src/lib.rs
+++ b/crates/mangostep-telemetry/src/lib.rs
@@ -3,8 +3,8 @@
 //! # Parts
 //!
 //! * [`open_log`] sets up structured log lines on standard error.
-//! * [`LineLog`] writes bounded log lines to standard output and never
-//!   blocks; [`boot_time_micros`] reads the clock that counts suspension.
+//! * [`LineLog`] writes log lines within [`LineBounds`] to standard output and
+//!   never blocks; [`boot_time_micros`] reads the clock that counts suspension.
 //! * [`EventRecorder`] keeps the latest time-line events in a bounded ring.
 //! * [`HostCounters`] counts by OpenTelemetry, with bounded labels.
 //! * [`StatusBoard`] holds what `mangostep status` shows.
@@ -24,6 +24,7 @@
 mod counters;
 mod error;
 mod event;
+mod line_budget;
 mod line_log;
 mod log;
 mod status;
@@ -33,6 +34,7 @@
     counters::{CounterLabel, HostCounters},
     error::TelemetryError,
     event::{EventPage, EventRecorder, LogicalClock, RecorderSettings, TimelineEvent},
+    line_budget::LineBounds,
     line_log::{LineLog, LineLogSettings},
     log::open_log,
     status::StatusBoard,
--- a/crates/mangostep/src/explain.rs
+++ b/crates/mangostep/src/explain.rs
@@ -15,7 +15,8 @@
 Reads JSON lines from the files, or from standard input without any, and
 prints the lines about the request in the order of their times. Between them
 stand the lines about the servers that it was sent to, from five seconds
-before its first line on. Text before a line's first brace is passed over.
+before its first line on. Text before a line's first brace is passed over. The
+last line names the cause of the request's end, and what speaks for it.
 ";
 
 /// Time before a request in which lines about its servers matter; failing
@@ -53,12 +54,62 @@
             "no line names the request `{id}`"
         )));
     }
-    for line in story {
-        println!("{}", format_line(&line));
+    for line in &story {
+        println!("{}", format_line(line));
     }
+    println!("cause: {}", cause_of(id, &story));
     Ok(())
 }
 
+/// Why a request ended as it did, from its own lines and those about its
+/// servers.
+fn cause_of(id: &str, story: &[LogLine]) -> String {
+    let is_end = |line: &&LogLine| line.text("id") == id && line.text("msg") == "request ended";
+    let Some(end) = story.iter().rfind(is_end) else {
+        return "its end is not in these logs; its host may have ended before".to_owned();
+    };
+    let server = end.text("servers").rsplit(' ').next().unwrap_or_default();
+    match (end.text("outcome"), end.text("detail")) {
+        ("answered", _) if end.number("status") < 400 => "none, it was served".to_owned(),
+        ("answered", _) => format!("server {server} ran it and answered with an error"),
+        ("over-rate", _) => format!(
+            "workspace {} is over its limit, as host {} counts it",
+            end.text("workspace"),
+            end.text("home")
+        ),
+        ("no-route", _) => "no route takes it".to_owned(),
+        ("bad-key", _) => "its key is unknown to the version in force".to_owned(),
+        ("not-granted", _) => "its workspace may not use the route".to_owned(),
+        ("not-ready", _) => "the host had started and knew no configuration yet".to_owned(),
+        ("leaving", _) => "the host was stopping and would have ended before it".to_owned(),
+        ("no-room", "retry budget") => {
+            format!("server {server} turned it away, and the retry budget was empty")
+        }
+        ("no-room", detail) => format!("no server could take it: {detail}"),
+        ("timed-out", _) => format!(
+            "server {server} gave no answer in time; {}",
+            witnesses(id, server, story)
+        ),
+        (_, detail) => format!(
+            "server {server} failed it ({detail}) after it may have run; {}",
+            witnesses(id, server, story)
+        ),
+    }
+}
+
+/// What else is known of a server: other requests that failed there.
+fn witnesses(id: &str, server: &str, story: &[LogLine]) -> String {
+    let others = story.iter().filter(|line| {
+        line.text("msg") == "attempt failed"
+            && line.text("server") == server
+            && line.text("id") != id
+    });
+    match others.count() {
+        0 => "no other request failed there in the five seconds before".to_owned(),
+        count => format!("{count} other sends failed there in the five seconds before"),
+    }
+}
+
 fn read_lines(
     name: &str,
     reader: impl BufRead,
--- a/crates/mangostep/tests/explain.rs
+++ b/crates/mangostep/tests/explain.rs
@@ -38,7 +38,7 @@
     let (done, story) = explain("r1");
     assert!(done);
     let lines: Vec<&str> = story.lines().collect();
-    assert_eq!(lines.len(), 3, "{story}");
+    assert_eq!(lines.len(), 4, "{story}");
     // Another host saw the same server fail three seconds before.
     assert!(
         lines[0].starts_with("10:00:03.000 h2 attempt failed"),
@@ -49,13 +49,20 @@
         "{story}"
     );
     assert!(lines[2].contains("outcome=failed"), "{story}");
+    assert!(
+        lines[3].starts_with("cause: server s1 failed it (reset)")
+            && lines[3].contains("1 other sends failed there"),
+        "{story}"
+    );
 }
 
 #[test]
 fn refused_and_late_requests_name_their_cause() {
     let (_, refused) = explain("r2");
     assert!(refused.contains("outcome=over-rate") && refused.contains("workspace=north"));
+    assert!(refused.contains("cause: workspace north is over its limit"));
     let (_, late) = explain("r3");
+    assert!(late.contains("cause: server s2 gave no answer in time"));
     assert!(late.contains("outcome=timed-out") && late.contains("servers=s2"));
 }
 
--- a/crates/standins/src/entry_fleet/host.rs
+++ b/crates/standins/src/entry_fleet/host.rs
@@ -102,6 +102,11 @@
         &self.zone
     }
 
+    /// How often the host was started.
+    pub fn starts(&self) -> u32 {
+        self.starts
+    }
+
     /// Where the host listens.
     pub fn addresses(&self) -> &EntryHostAddresses {
         &self.addresses
--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -24,6 +24,9 @@
 /// get nothing more.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
+/// Time from SIGTERM until the platform ends a process by force.
+pub(crate) const STOP_GRACE: Duration = Duration::from_secs(6);
+
 /// Time on one machine between an event and its record.
 const RECORDING: Duration = Duration::from_millis(150);
 
@@ -278,8 +281,8 @@
                 Incident::EndedItself(host) => {
                     self.report("no process ends by itself", *at, host);
                 }
-                Incident::Note(text) if text.contains("outlived") => {
-                    self.report("planned stops end in time", *at, text);
+                Incident::Outlived(host) if self.is_in_touch(*host, *at - STOP_GRACE..*at) => {
+                    self.report("planned stops end in time", *at, host);
                 }
                 _ => {}
             }
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -4,18 +4,16 @@
 
 use crate::{
     MoodPlan, StandinError, StoreMood,
-    entry_fleet::{EntryConfiguration, EntryFleet},
+    entry_fleet::{EntryConfiguration, EntryFleet, EntryHost},
     fleet::ProcessSignal,
     proxy::{LinkRule, ProxyCommand},
     soak::{
+        checks::STOP_GRACE,
         records::{Incident, SoakRecords},
         schedule::{SoakEvent, SoakFault},
     },
 };
 
-/// Time from SIGTERM until the platform ends a process by force.
-const STOP_GRACE: Duration = Duration::from_secs(6);
-
 /// Time for which a leaving server still serves, and after which callers have
 /// a new key.
 const NOTICE: Duration = Duration::from_millis(2_200);
@@ -34,11 +32,20 @@
     records: &'f SoakRecords,
     configuration: EntryConfiguration,
     expected: Vec<ExpectedProcess>,
-    /// Faults under way, with the times at which they end.
-    under_way: Vec<(Duration, SoakFault)>,
+    under_way: Vec<RunningFault>,
     started: Instant,
 }
 
+/// A fault that has not ended.
+#[derive(Clone, Debug)]
+struct RunningFault {
+    end: Duration,
+    fault: SoakFault,
+    /// Starts of all hosts when it began: a host that was started since is
+    /// not the one that was stopped.
+    starts: Vec<u32>,
+}
+
 impl<'f> FaultRunner<'f> {
     pub(crate) fn open(
         fleet: &'f mut EntryFleet,
@@ -80,15 +87,16 @@
     }
 
     fn next_end(&self) -> Option<Duration> {
-        self.under_way.iter().map(|(end, _)| *end).min()
+        self.under_way.iter().map(|running| running.end).min()
     }
 
     async fn end_due(&mut self, now: Duration) -> Result<(), StandinError> {
         self.look_for_ends();
-        while let Some(at) = self.under_way.iter().position(|(end, _)| *end <= now) {
-            let (_, fault) = self.under_way.remove(at);
-            self.records.note(Incident::Note(format!("ends {fault:?}")));
-            self.end(fault).await?;
+        while let Some(at) = self.under_way.iter().position(|running| running.end <= now) {
+            let running = self.under_way.remove(at);
+            let note = format!("ends {:?}", running.fault);
+            self.records.note(Incident::Note(note));
+            self.end(running).await?;
         }
         Ok(())
     }
@@ -183,10 +191,16 @@
                 return;
             }
         }
-        self.under_way.push((event.at + span, fault));
+        let starts = self.fleet.hosts.iter().map(EntryHost::starts);
+        self.under_way.push(RunningFault {
+            end: event.at + span,
+            fault,
+            starts: starts.collect(),
+        });
     }
 
-    async fn end(&mut self, fault: SoakFault) -> Result<(), StandinError> {
+    async fn end(&mut self, running: RunningFault) -> Result<(), StandinError> {
+        let RunningFault { fault, starts, .. } = running;
         match fault {
             SoakFault::KillHost(host) => self.start(host).await,
             SoakFault::KillAllHosts => {
@@ -196,13 +210,14 @@
                 Ok(())
             }
             SoakFault::StopHost(host) => {
-                if self.expected[host] != ExpectedProcess::Stopping {
+                let stopped = &self.fleet.hosts[host];
+                let is_same = stopped.starts() == starts[host];
+                if self.expected[host] != ExpectedProcess::Stopping || !is_same {
                     return Ok(());
                 }
-                let stopped = &self.fleet.hosts[host];
                 if stopped.is_running() {
-                    let text = format!("{} outlived its grace", stopped.name());
-                    self.records.note(Incident::Note(text));
+                    let front = stopped.addresses().front;
+                    self.records.note(Incident::Outlived(front));
                 }
                 self.kill(host);
                 self.start(host).await
--- a/crates/standins/src/soak/records.rs
+++ b/crates/standins/src/soak/records.rs
@@ -54,6 +54,8 @@
     Revoked(String),
     /// A server may get no new requests; the store has it.
     Left(String),
+    /// A host still ran at the end of its grace.
+    Outlived(SocketAddr),
     /// A host ended by itself.
     EndedItself(SocketAddr),
     /// Anything else, for the reader of the records.
