Keep a hot workspace within its limit while its home starts again

A home that had been passed over had refilled its bucket, and each host without a home began with up to 3.5 tokens, on any number of hosts.

Change: homes are chosen among the hosts that callers are led to, so that all hosts agree on them and drop one that is gone; a silent home is passed over for 0.5 s; an ask tells that another home answered before, and a bucket that was idle meanwhile begins anew; buckets open with 0.14 of the tolerance, which lets seven homes follow each other in a window; hosts without a home share the limit by the number of all hosts and begin with nothing. A host takes callers once it knows the others, or after a second.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -29,6 +29,7 @@
     pub(crate) settings: HostSettings,
     pub(crate) log: Logger,
     pub(crate) counters: HostCounters,
+    pub(crate) opened: MonotonicTime,
     /// Start of this process, in milliseconds since 1970.
     pub(crate) incarnation: u64,
     pub(crate) snapshot: RefCell<Option<Rc<Snapshot>>>,
@@ -56,6 +57,9 @@
     pub(crate) held_requests: Cell<u64>,
 }
 
+/// Longest time for which a host that starts waits to learn of the others.
+pub(crate) const HOSTS_WAIT: Duration = Duration::from_secs(1);
+
 /// Where a host stands between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum HostPhase {
@@ -131,9 +135,14 @@
         self.phase.get() == HostPhase::Serving && self.knows_enough()
     }
 
-    /// Whether this host knows a configuration and the backend servers.
+    /// Whether this host knows a configuration, the backend servers and, for
+    /// its first moments, the other hosts, which count tokens.
     pub(crate) fn knows_enough(&self) -> bool {
-        self.snapshot.borrow().is_some() && self.tables.borrow().of(FleetTable::Servers).is_known
+        let tables = self.tables.borrow();
+        let is_known = |table| tables.of(table).is_known;
+        let knows_hosts =
+            is_known(FleetTable::Hosts) || clock::now().since(self.opened) >= HOSTS_WAIT;
+        self.snapshot.borrow().is_some() && is_known(FleetTable::Servers) && knows_hosts
     }
 
     /// Takes note of whether the store answered a call.
--- a/crates/mangostep-entry/src/follow/store.rs
+++ b/crates/mangostep-entry/src/follow/store.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock,
-    context::HostPhase,
+    context::{HOSTS_WAIT, HostPhase},
     follow::apply::apply,
     platform::{FleetTable, Platform, StoreFault, StoreFaultKind},
     prelude::*,
@@ -33,9 +33,6 @@
 /// Time between two looks whether this host follows the store.
 const ROLE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Longest time for which a host that starts waits to learn of the others.
-const HOSTS_WAIT: Duration = Duration::from_secs(1);
-
 /// Longest time for which calls for further tables wait while the store answers
 /// none: it may serve some tables only.
 const STORE_ABSENCE: Duration = Duration::from_secs(2);
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -150,6 +150,7 @@
     Ok(HostContext {
         log,
         counters,
+        opened: clock::now(),
         incarnation: clock::wall_ms(),
         snapshot: Default::default(),
         tables: TableStates::default().into(),
--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -8,7 +8,7 @@
 use crate::platform::FleetTable;
 
 /// The version of the datagrams; others are passed over.
-pub(crate) const MESSAGE_VERSION: u8 = 2;
+pub(crate) const MESSAGE_VERSION: u8 = 3;
 
 /// A datagram from host to host.
 #[derive(Debug, Serialize, Deserialize)]
@@ -72,6 +72,8 @@
     pub(crate) workspace: Cow<'a, str>,
     pub(crate) rate_per_s: f64,
     pub(crate) burst: f64,
+    /// Whether another home answered the last ask, a short time ago.
+    pub(crate) has_moved: bool,
 }
 
 /// Writes a datagram: its version, then the message.
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -51,6 +51,8 @@
     /// Homes of tokens that did not answer, and until when they are passed
     /// over.
     silent_homes: RefCell<HashMap<String, MonotonicTime>>,
+    /// The home that answered last for a workspace, and when.
+    last_homes: RefCell<HashMap<String, (String, MonotonicTime)>>,
     /// Datagrams that could not be sent since they were last counted.
     unsent: Cell<u64>,
     /// The lists that were sent last.
@@ -69,6 +71,7 @@
             next_ask: Cell::new(1),
             asks: RefCell::default(),
             silent_homes: RefCell::default(),
+            last_homes: RefCell::default(),
             unsent: Cell::new(0),
             sent_lists: RefCell::default(),
             behind: RefCell::default(),
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -138,6 +138,8 @@
         workspace: &question.workspace,
         rate_per_s: question.rate_per_s,
         burst: question.burst,
+        is_alone: false,
+        has_moved: question.has_moved,
     };
     let verdict = context.ledger.borrow_mut().ask(ask, clock::now());
     let denied_us = match verdict {
--- a/crates/mangostep-entry/src/peers/tokens.rs
+++ b/crates/mangostep-entry/src/peers/tokens.rs
@@ -20,11 +20,13 @@
 /// Homes that are asked for one token before the host decides by itself.
 const HOMES_ASKED: usize = 2;
 
-/// Time for which a home that did not answer is passed over.
-const SILENCE_SPAN: Duration = Duration::from_secs(2);
+/// Time for which a home that did not answer is passed over. While it is, this
+/// host and others may ask different homes, which doubles the limit; the lists
+/// of hosts drop a home that is gone within two seconds.
+const SILENCE_SPAN: Duration = Duration::from_millis(500);
 
-/// Hosts among which a limit is split while no home answers and few hosts
-/// are known.
+/// Hosts among which a limit is split at least while no home answers, for few
+/// may be known.
 const SPLIT_MIN: usize = 8;
 
 /// The answer to an ask for a token, and who gave it.
@@ -45,16 +47,19 @@
 ) -> TokenAnswer {
     let homes = homes_of(context, workspace);
     for (name, address) in homes {
-        if name == context.settings.host {
-            let verdict = ask_here(context, workspace, limit.rate_per_s, limit.burst);
-            let home = Some(name);
-            return TokenAnswer { verdict, home };
-        }
-        let asked = clock::now();
-        let answer = ask_home(context, workspace, limit, address).await;
-        let waited = clock::now().since(asked);
-        context.counters.record_token_wait("remote", waited);
+        let has_moved = has_moved(context, workspace, &name);
+        let answer = match name == context.settings.host {
+            true => Some(ask_here(context, workspace, limit, has_moved)),
+            false => {
+                let asked = clock::now();
+                let answer = ask_home(context, workspace, limit, has_moved, address).await;
+                let waited = clock::now().since(asked);
+                context.counters.record_token_wait("remote", waited);
+                answer
+            }
+        };
         if let Some(verdict) = answer {
+            note_home(context, workspace, &name);
             let home = Some(name);
             return TokenAnswer { verdict, home };
         }
@@ -62,12 +67,20 @@
         let until = clock::now() + SILENCE_SPAN;
         context.peers.silent_homes.borrow_mut().insert(name, until);
     }
-    context.counters.count("token-granted-alone", &[]);
-    let hosts = context.hosts.borrow().active(clock::now()).max(SPLIT_MIN) as f64;
+    context.counters.count("token-asked-alone", &[]);
+    // Any number of hosts may be cut off from the homes.
+    let hosts = context.hosts.borrow().rows().count().max(SPLIT_MIN) as f64;
     let own = format!("{workspace} alone");
-    let burst = (limit.burst / hosts / 2.0).max(1.0);
+    let ask = LedgerAsk {
+        asker: (context.incarnation, next_ask(context)),
+        workspace: &own,
+        rate_per_s: limit.rate_per_s / hosts,
+        burst: 1.0,
+        is_alone: true,
+        has_moved: false,
+    };
     TokenAnswer {
-        verdict: ask_here(context, &own, limit.rate_per_s / hosts, burst),
+        verdict: context.ledger.borrow_mut().ask(ask, clock::now()),
         home: None,
     }
 }
@@ -83,7 +96,7 @@
         .of(crate::platform::FleetTable::Hosts)
         .is_known;
     let hosts = context.hosts.borrow();
-    let homes = hosts.token_homes(workspace).into_iter();
+    let homes = hosts.token_homes(workspace, now).into_iter();
     let asked = homes.filter(|row| is_known && !silent.contains_key(&row.name));
     asked
         .take(HOMES_ASKED)
@@ -91,13 +104,44 @@
         .collect()
 }
 
-fn ask_here(context: &HostContext, workspace: &str, rate_per_s: f64, burst: f64) -> TokenVerdict {
-    let number = next_ask(context);
+/// Whether another home answered for the workspace within the window in which
+/// its requests are counted.
+fn has_moved(context: &HostContext, workspace: &str, home: &str) -> bool {
+    let window = context.settings.bounds.limit_window_s;
+    let last = context.peers.last_homes.borrow();
+    last.get(workspace)
+        .is_some_and(|(name, at)| name != home && clock::now().since(*at) < window)
+}
+
+fn note_home(context: &HostContext, workspace: &str, home: &str) {
+    let mut last = context.peers.last_homes.borrow_mut();
+    match last.get_mut(workspace) {
+        Some((name, at)) => {
+            if name != home {
+                home.clone_into(name);
+            }
+            *at = clock::now();
+        }
+        None => {
+            let entry = (home.to_owned(), clock::now());
+            last.insert(workspace.to_owned(), entry);
+        }
+    }
+}
+
+fn ask_here(
+    context: &HostContext,
+    workspace: &str,
+    limit: &Limit,
+    has_moved: bool,
+) -> TokenVerdict {
     let ask = LedgerAsk {
-        asker: (context.incarnation, number),
+        asker: (context.incarnation, next_ask(context)),
         workspace,
-        rate_per_s,
-        burst,
+        rate_per_s: limit.rate_per_s,
+        burst: limit.burst,
+        is_alone: false,
+        has_moved,
     };
     context.ledger.borrow_mut().ask(ask, clock::now())
 }
@@ -112,6 +156,7 @@
     context: &HostContext,
     workspace: &str,
     limit: &Limit,
+    has_moved: bool,
     address: SocketAddr,
 ) -> Option<TokenVerdict> {
     let number = next_ask(context);
@@ -124,6 +169,7 @@
         workspace: Cow::Borrowed(workspace),
         rate_per_s: limit.rate_per_s,
         burst: limit.burst,
+        has_moved,
     });
     let bytes = encode(&question);
     for wait in ANSWER_WAITS {
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -570,9 +570,15 @@
         targets
     }
 
-    /// The hosts that may count the tokens of a workspace, best first.
-    pub fn token_homes(&self, workspace: &str) -> Vec<&HostRow> {
-        let names = self.rows.keys().map(String::as_str);
+    /// The hosts that may count the tokens of a workspace, best first: those
+    /// that callers are led to, for all hosts agree on them and learn within
+    /// seconds which are gone.
+    pub fn token_homes(&self, workspace: &str, now: MonotonicTime) -> Vec<&HostRow> {
+        let named = self.lists(now).flat_map(|list| self.rows_of(&list.named));
+        let mut names: Vec<&str> = named.map(|row| row.name.as_str()).collect();
+        if names.is_empty() {
+            names.extend(self.rows.keys().map(String::as_str));
+        }
         let order = rendezvous_order(workspace, names);
         order
             .iter()
--- a/crates/mangostep-policy/src/dispatch/token_ledger.rs
+++ b/crates/mangostep-policy/src/dispatch/token_ledger.rs
@@ -17,8 +17,12 @@
     pub slack: f64,
     /// Share of what a workspace may pass its limit by that a bucket holds
     /// when it opens. Its former home may have given the burst already, and
-    /// four homes may follow each other within one window.
+    /// seven homes may follow each other within one window.
     pub opening_share: f64,
+    /// Time without asks after which a bucket begins anew when asks come that
+    /// another home answered before: it was refilled while the other one gave
+    /// the same tokens.
+    pub moved_gap: Duration,
     /// Answers that are kept for asks that were sent again.
     pub remembered_asks: usize,
 }
@@ -29,7 +33,8 @@
             window: Duration::from_secs(5),
             overshoot: 0.1,
             slack: 20.0,
-            opening_share: 0.2,
+            opening_share: 0.14,
+            moved_gap: Duration::from_millis(500),
             remembered_asks: 512,
         }
     }
@@ -38,6 +43,9 @@
 impl LedgerSettings {
     /// Tokens of a bucket that opens.
     fn opening_tokens(&self, ask: &LedgerAsk<'_>) -> f64 {
+        if ask.is_alone {
+            return 0.0;
+        }
         let limit = ask.rate_per_s * self.window.as_secs_f64() + ask.burst;
         let tolerance = limit * self.overshoot + self.slack;
         (tolerance * self.opening_share).min(ask.burst).max(1.0)
@@ -55,6 +63,12 @@
     pub rate_per_s: f64,
     /// Tokens after a quiet time.
     pub burst: f64,
+    /// Whether the asker has no home to ask and counts a part of the limit by
+    /// itself; other hosts may do so at the same time.
+    pub is_alone: bool,
+    /// Whether another home answered the asker's last ask for the workspace,
+    /// a short time ago.
+    pub has_moved: bool,
 }
 
 /// The answer to an ask.
@@ -113,9 +127,10 @@
     }
 
     fn take(&mut self, ask: LedgerAsk<'_>, now: MonotonicTime) -> TokenVerdict {
+        let opening = self.settings.opening_tokens(&ask);
         if !self.buckets.contains_key(ask.workspace) {
             let bucket = LedgerBucket {
-                tokens: self.settings.opening_tokens(&ask),
+                tokens: opening,
                 refilled: now,
                 denied: 0.0,
             };
@@ -125,8 +140,12 @@
             .buckets
             .get_mut(ask.workspace)
             .expect("was just inserted");
-        let gained = now.since(bucket.refilled).as_secs_f64() * ask.rate_per_s;
+        let idle = now.since(bucket.refilled);
+        let gained = idle.as_secs_f64() * ask.rate_per_s;
         bucket.tokens = (bucket.tokens + gained).min(ask.burst.max(1.0));
+        if ask.has_moved && idle >= self.settings.moved_gap {
+            bucket.tokens = bucket.tokens.min(opening);
+        }
         bucket.refilled = now;
         if bucket.tokens >= 1.0 {
             bucket.tokens -= 1.0;
--- a/crates/mangostep-policy/tests/dispatch/host_table.rs
+++ b/crates/mangostep-policy/tests/dispatch/host_table.rs
@@ -358,12 +358,22 @@
 
 #[test]
 fn every_host_finds_the_same_home_of_a_workspace() {
-    let fleet = HostFleet::open(&["a", "b"]);
-    let homes: BTreeSet<&str> = fleet
-        .live()
-        .map(|table| table.token_homes("north")[0].name.as_str())
-        .collect();
-    assert_eq!(homes.len(), 1);
+    let mut fleet = HostFleet::open(&["a", "b"]);
+    let home = |fleet: &HostFleet| -> BTreeSet<String> {
+        let now = at_ms(fleet.now_ms);
+        let homes = fleet.live().map(|table| table.token_homes("north", now));
+        homes.map(|homes| homes[0].name.clone()).collect()
+    };
+    assert_eq!(home(&fleet).len(), 1);
+    fleet.turns(6);
+    let first = home(&fleet);
+    assert_eq!(first.len(), 1, "{first:?}");
+    // It dies, and all agree on another one.
+    fleet.dead.extend(first.clone());
+    fleet.turns(8);
+    let second = home(&fleet);
+    assert_eq!(second.len(), 1, "{second:?}");
+    assert_ne!(first, second);
 }
 
 #[test]
--- a/crates/standins/src/bin/quickstart.rs
+++ b/crates/standins/src/bin/quickstart.rs
@@ -1,18 +1,18 @@
-//! Starts a small fleet on this machine and sends requests through it.
+//! Starts a small fleet on this machine, sends requests through it, and tells
+//! why one of them failed.
 
-use std::{path::Path, process::ExitCode, time::Duration};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
-use {
-    mangostep_objects::ObjectSet,
-    standins::{
-        StandinError,
-        fleet::{FleetSettings, ReadyProbe, ServerGroup, StartObjects, TestFleet},
-        load::{LoadRequest, LoadSettings, run_load},
+use standins::{
+    AnswerMood, CallerAsk, KeptCaller, MoodPlan, StandinError,
+    entry_fleet::{
+        EntryConfiguration, EntryFleet, EntryFleetSettings, EntryServerGroup, EntryWorkspace,
+        look_up,
     },
 };
 
 const USAGE: &str = "\
-quickstart: three entry hosts, six backend servers and a platform stand-in
+quickstart: three entry hosts, six backend servers and a store
 
 Usage: quickstart [--stay]
 
@@ -21,11 +21,14 @@
 
 const EXIT_USAGE: u8 = 2;
 
-/// Workspaces of the example with the keys that its comments name.
-const WORKSHOP_KEY: &str = "example-key-workshop";
-const TILLS_KEY: &str = "example-key-tills";
+/// Requests of each kind.
+const REQUESTS: usize = 60;
 
-const DEMONSTRATION: Duration = Duration::from_secs(5);
+/// Longest time for one request.
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// Time for the hosts' log writers.
+const LOG_PAUSE: Duration = Duration::from_millis(500);
 
 fn main() -> ExitCode {
     let mut arguments = pico_args::Arguments::from_env();
@@ -41,7 +44,13 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run(stay)) {
+    let ran = runtime.block_on(async {
+        tokio::select! {
+            ran = demonstrate(stay) => ran,
+            _ = tokio::signal::ctrl_c() => Ok(()),
+        }
+    });
+    match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("quickstart: {err}");
@@ -50,135 +59,146 @@
     }
 }
 
-async fn run(stay: bool) -> Result<(), StandinError> {
-    eprintln!("building the programs");
-    standins::fleet::build_programs().await?;
-    eprintln!("starting the fleet");
-    tokio::select! {
-        result = demonstrate(stay) => result,
-        _ = tokio::signal::ctrl_c() => {
-            eprintln!("stopped");
-            Ok(())
-        }
+async fn demonstrate(stay: bool) -> Result<(), StandinError> {
+    eprintln!("building the programs and starting the fleet");
+    let fleet = EntryFleet::open(settings()).await?;
+    for host in &fleet.hosts {
+        let front = host.addresses().front;
+        println!("entry host      {front}  in {}", host.zone());
+    }
+    for server in &fleet.servers {
+        println!(
+            "backend server  {}  {} in {}",
+            server.address, server.service, server.zone
+        );
+    }
+    let asked = fleet.hosts[0].addresses().lookup;
+    let failed = |err: std::io::Error| StandinError::new("look up", asked, err);
+    let fronts = look_up(asked, fleet.hosts[0].zone())
+        .await
+        .map_err(failed)?;
+    println!("\nA caller in zone a is led to {fronts:?}.\n");
+    println!("kind       sent  served  refused  failed");
+    let kinds = [
+        ("look-up", "GET", "/look-ledger/1042", "workshop-key"),
+        ("booking", "POST", "/book-ledger/7", "workshop-key"),
+        ("refund", "POST", "/book-refunds/3", "tills-key"),
+        ("no key", "GET", "/look-ledger/1042", "unknown"),
+    ];
+    for kind in kinds {
+        send_kind(&fleet, kind).await?;
+    }
+    explain_failure(&fleet).await?;
+    if stay {
+        println!(
+            "\nIt runs until Ctrl-C; settings and logs: {}",
+            fleet.directory().display()
+        );
+        let front = fleet.hosts[0].addresses().front;
+        println!(
+            "  curl -H 'host: app.example' -H 'authorization: Bearer workshop-key' \
+             http://{front}/look-ledger/1"
+        );
+        println!(
+            "  curl http://{}/metrics",
+            fleet.hosts[0].addresses().metrics
+        );
+        std::future::pending::<()>().await;
     }
+    fleet.close();
+    Ok(())
 }
 
-async fn demonstrate(stay: bool) -> Result<(), StandinError> {
-    let objects = read_objects()?;
-    let group = |service: &str| ServerGroup {
+fn settings() -> EntryFleetSettings {
+    let workspace = |name: &str, rate_per_s| EntryWorkspace {
+        name: name.to_owned(),
+        keys: vec![format!("{name}-key")],
+        rate_per_s,
+        burst: rate_per_s,
+    };
+    let group = |service: &str| EntryServerGroup {
         service: service.to_owned(),
         per_zone: 1,
-        ..Default::default()
     };
-    let fleet = TestFleet::open(FleetSettings {
-        fleet: "quickstart".to_owned(),
-        zones: objects.zones.iter().map(|zone| zone.name.clone()).collect(),
-        servers: objects
-            .services
-            .iter()
-            .map(|service| group(&service.name))
-            .collect(),
-        objects: StartObjects::Set(objects),
-        ready: Some(ReadyProbe {
-            path: "/queue/1".to_owned(),
-            key: WORKSHOP_KEY.to_owned(),
+    EntryFleetSettings {
+        hosts_per_zone: 1,
+        servers: vec![group("ledger"), group("refunds")],
+        configuration: EntryConfiguration {
+            workspaces: vec![workspace("workshop", 500.0), workspace("tills", 500.0)],
             ..Default::default()
-        }),
+        },
         ..Default::default()
-    })
-    .await?;
-    show_fleet(&fleet);
-    send_requests(&fleet).await?;
-    show_servers(&fleet).await?;
-    if stay {
-        println!("\nIt runs until Ctrl-C.");
-        std::future::pending::<()>().await;
-    }
-    fleet.close().await;
-    Ok(())
-}
-
-fn read_objects() -> Result<ObjectSet, StandinError> {
-    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/repairs");
-    let failed = |err| StandinError::new("read example", directory.display(), err);
-    let mut set = ObjectSet::default();
-    for entry in std::fs::read_dir(&directory).map_err(failed)? {
-        let path = entry.map_err(failed)?.path();
-        let text = std::fs::read_to_string(&path).map_err(failed)?;
-        let file = path.display().to_string();
-        let objects = ObjectSet::from_text(&file, &text)
-            .map_err(|err| StandinError::new("read example", &file, err))?;
-        set.merge(objects);
     }
-    Ok(set)
 }
 
-fn show_fleet(fleet: &TestFleet) {
-    println!("platform stand-in  http://{}", fleet.platform.address());
-    for host in &fleet.hosts {
-        let front = host.addresses().front;
-        println!("entry host         http://{front}  in {}", host.zone());
-    }
-    for server in &fleet.servers {
-        let address = server.address();
-        println!("backend server     http://{address}  {}", server.name());
+async fn send_kind(
+    fleet: &EntryFleet,
+    (name, method, path, key): (&str, &str, &str, &str),
+) -> Result<(), StandinError> {
+    let (mut served, mut refused, mut failed) = (0, 0, 0);
+    for number in 0..REQUESTS {
+        let host = &fleet.hosts[number % fleet.hosts.len()];
+        let id = format!("{}-{number}", name.replace(' ', "-"));
+        let ask = CallerAsk {
+            method,
+            path,
+            id: &id,
+            key,
+            ..Default::default()
+        };
+        match send(host.addresses().front, ask).await? {
+            200 => served += 1,
+            401 | 429 | 503 => refused += 1,
+            _ => failed += 1,
+        }
     }
+    println!("{name:<9} {REQUESTS:>5} {served:>7} {refused:>8} {failed:>7}");
+    Ok(())
 }
 
-async fn send_requests(fleet: &TestFleet) -> Result<(), StandinError> {
-    let report = run_load(LoadSettings {
-        entries: fleet.entries(),
-        rate_per_s: 60.0,
-        duration: DEMONSTRATION,
-        requests: vec![
-            LoadRequest::get("look-up", "/queue/1042", WORKSHOP_KEY).with_weight(6.0),
-            LoadRequest::post("booking", "/bookings/7", WORKSHOP_KEY).with_weight(2.0),
-            LoadRequest::post("refund", "/refunds/3", TILLS_KEY).with_weight(2.0),
-            LoadRequest::get("no key", "/queue/1042", ""),
-        ],
-        ..Default::default()
-    })
-    .await?;
-    println!("\nkind       sent  served  refused  unknown  p50 ms  p99 ms");
-    for kind in &report.kinds {
-        println!(
-            "{:<9} {:>5} {:>7} {:>8} {:>8} {:>7.2} {:>7.2}",
-            kind.name,
-            kind.sent,
-            kind.served,
-            kind.not_run,
-            kind.unknown + kind.lost,
-            kind.latency_ms(0.5),
-            kind.latency_ms(0.99),
-        );
-    }
-    Ok(())
+async fn send(front: std::net::SocketAddr, ask: CallerAsk<'_>) -> Result<u16, StandinError> {
+    let failed = |err: std::io::Error| StandinError::new("send request", front, err);
+    let mut caller = KeptCaller::open(front, LIMIT).await.map_err(failed)?;
+    let answer = caller.ask(ask, LIMIT).await.map_err(failed)?;
+    Ok(answer.status)
 }
 
-async fn show_servers(fleet: &TestFleet) -> Result<(), StandinError> {
-    println!("\nbackend server                  ran  keys seen");
-    for server in &fleet.servers {
-        let summary = server.summary().await?;
-        println!(
-            "{:<30} {:>4} {:>10}",
-            server.name(),
-            summary.ran,
-            summary.key_headers.len()
-        );
+/// Lets the refunds' servers fail while their health is good, and tells why a
+/// refund failed.
+async fn explain_failure(fleet: &EntryFleet) -> Result<(), StandinError> {
+    for (index, server) in fleet.servers.iter().enumerate() {
+        if server.service == "refunds" {
+            fleet.set_plan(
+                index,
+                MoodPlan {
+                    mood: AnswerMood::ResetsAfterRun,
+                    ..Default::default()
+                },
+            );
+        }
     }
-    let host = fleet.hosts[0].addresses();
-    let operators: Vec<String> = fleet
-        .hosts
-        .iter()
-        .map(|host| host.addresses().operator.to_string())
+    let ask = CallerAsk {
+        method: "POST",
+        path: "/book-refunds/3",
+        id: "refund-that-fails",
+        key: "tills-key",
+        ..Default::default()
+    };
+    let status = send(fleet.hosts[1].addresses().front, ask).await?;
+    tokio::time::sleep(LOG_PAUSE).await;
+    println!("\nrefund-that-fails got {status}; mangostep explain tells why:\n");
+    let failed = |err: std::io::Error| StandinError::new("explain", ask.id, err);
+    let logs: Vec<PathBuf> = std::fs::read_dir(fleet.directory())
+        .map_err(failed)?
+        .filter_map(|entry| entry.ok().map(|entry| entry.path()))
+        .filter(|path| path.extension().is_some_and(|extension| extension == "out"))
         .collect();
-    println!("\nWhere to look while it runs (quickstart --stay):");
-    println!("  curl http://{}/_mangostep/entry", host.front);
-    println!(
-        "  curl -H 'mangostep-key: {WORKSHOP_KEY}' http://{}/queue/1042",
-        host.front
-    );
-    println!("  operators' listeners: {}", operators.join(" "));
-    println!("  settings and logs: {}", fleet.directory().display());
+    let told = std::process::Command::new(fleet.program())
+        .arg("explain")
+        .arg(ask.id)
+        .args(logs)
+        .output()
+        .map_err(failed)?;
+    print!("{}", String::from_utf8_lossy(&told.stdout));
     Ok(())
 }
--- a/crates/standins/src/entry_fleet/mod.rs
+++ b/crates/standins/src/entry_fleet/mod.rs
@@ -131,6 +131,7 @@
     pub log: BackendLog,
     settings: EntryFleetSettings,
     shared_plan: Arc<Mutex<MoodPlan>>,
+    program: std::path::PathBuf,
     _block: AddressBlock,
     folder: tempfile::TempDir,
 }
@@ -191,6 +192,7 @@
             log: BackendLog::default(),
             settings,
             shared_plan: Arc::default(),
+            program: programs.mangostep,
             _block: block,
             folder,
         };
@@ -312,16 +314,16 @@
         Ok(())
     }
 
+    /// The program that the hosts run.
+    pub fn program(&self) -> &std::path::Path {
+        &self.program
+    }
+
     /// The folder with the hosts' settings and logs.
     pub fn directory(&self) -> &std::path::Path {
         self.folder.path()
     }
 
-    /// Keeps the folder when the fleet is closed.
-    pub fn keep_directory(&mut self) {
-        self.folder.disable_cleanup(true);
-    }
-
     /// Ends all processes of the fleet.
     pub fn close(self) {
         drop(self.hosts);
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -58,7 +58,7 @@
 /// Draws the faults of a soak, in the order of their times.
 pub(crate) fn draw(settings: &SoakSettings) -> Vec<SoakEvent> {
     let mut random = SmallRng::seed_from_u64(settings.seed);
-    let mut events = Vec::new();
+    let mut events = draw_planned_work(settings, &mut random);
     let mut at = Duration::ZERO;
     loop {
         // Faults come in series: some follow the one before at once.
@@ -68,6 +68,7 @@
         };
         at += pause;
         if at >= settings.duration {
+            events.sort_by_key(|event| event.at);
             return events;
         }
         events.push(SoakEvent {
@@ -78,6 +79,22 @@
     }
 }
 
+/// Planned work that comes in every soak, for each has a bound of its own.
+fn draw_planned_work(settings: &SoakSettings, random: &mut impl Rng) -> Vec<SoakEvent> {
+    let servers = settings.servers_per_zone * 3;
+    let work = [
+        SoakFault::RevokeKey(random.random_range(0..3)),
+        SoakFault::DrainServer(random.random_range(0..servers)),
+        SoakFault::StopHost(random.random_range(0..settings.hosts_per_zone * 3)),
+    ];
+    let events = work.into_iter().map(|fault| SoakEvent {
+        at: settings.duration.mul_f64(random.random_range(0.0..1.0)),
+        span: Duration::from_secs(2),
+        fault,
+    });
+    events.collect()
+}
+
 fn draw_fault(settings: &SoakSettings, random: &mut impl Rng) -> SoakFault {
     let hosts = settings.hosts_per_zone * 3;
     let servers = (settings.servers_per_zone + settings.servers_per_zone.div_ceil(2)) * 3;
