--- a/crates/mangostep-policy/tests/dispatch/hot_workspace.rs
+++ b/crates/mangostep-policy/tests/dispatch/hot_workspace.rs
@@ -28,7 +28,7 @@
     let mut granted = Vec::new();
     for number in 0..4_000 {
         let now = at_ms(number * 5);
-        if number >= 2_000 && number < 2_980 && number % 140 == 0 {
+        if (2_000..2_980).contains(&number) && number % 140 == 0 {
             ledger = TokenLedger::open(LedgerSettings::default());
         }
         if ledger.ask(ask(number), now) == TokenVerdict::Granted {
