--- a/crates/mangostep-entry/src/peers/copies.rs
+++ b/crates/mangostep-entry/src/peers/copies.rs
@@ -1,6 +1,7 @@
 use std::{io, net::SocketAddr};
 
 use {
+    bytes::Bytes,
     mangostep_policy::CopyDelta,
     serde::{Deserialize, Serialize},
     slog::info,
@@ -23,6 +24,14 @@
 /// Largest delta, in bytes: twice the servers of the target size.
 const DELTA_BYTES_MAX: u32 = 8 << 20;
 
+/// Answers that are kept for further hosts with the same question: each table's
+/// last two changes.
+const FRAMES_MAX: usize = 6;
+
+/// What an answer was made for: the table, the version that the asking host
+/// has and the version up to which the answer leads.
+pub(super) type CopyAsked = (FleetTable, u64, u64);
+
 /// Asks for the changes of a table after a version.
 #[derive(Debug, Serialize, Deserialize)]
 struct CopyQuestion {
@@ -49,18 +58,33 @@
 
 async fn serve_copy(context: &HostContext, mut stream: TcpStream) -> io::Result<()> {
     let question: CopyQuestion = read_frame(&mut stream).await?;
-    let delta = {
-        let tables = context.tables.borrow();
-        let state = tables.of(question.table);
-        match state.is_known {
-            true => state.copy.delta_after(question.after),
-            false => CopyDelta::default(),
-        }
-    };
-    write_frame(&mut stream, &delta).await?;
+    let frame = copy_frame(context, &question)?;
+    stream.write_all(&frame).await?;
     stream.shutdown().await
 }
 
+/// The answer to a question, as it is sent. Many hosts ask the same at once
+/// and share it.
+fn copy_frame(context: &HostContext, question: &CopyQuestion) -> io::Result<Bytes> {
+    let tables = context.tables.borrow();
+    let state = tables.of(question.table);
+    let mut frames = context.peers.frames.borrow_mut();
+    let asked = (question.table, question.after, state.copy.version());
+    if let Some((_, frame)) = frames.iter().find(|(of, _)| *of == asked) {
+        return Ok(frame.clone());
+    }
+    let delta = match state.is_known {
+        true => state.copy.delta_after(question.after),
+        false => CopyDelta::default(),
+    };
+    let frame = Bytes::from(encode_frame(&delta)?);
+    if frames.len() >= FRAMES_MAX {
+        frames.pop_front();
+    }
+    frames.push_back((asked, frame.clone()));
+    Ok(frame)
+}
+
 /// Reads the changes of a table after a version from another host; none when
 /// that host does not know the table.
 pub(crate) async fn read_copy(
@@ -72,7 +96,8 @@
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let mut stream = connecting.await.map_err(io::Error::from)??;
         stream.set_nodelay(true)?;
-        write_frame(&mut stream, &CopyQuestion { table, after }).await?;
+        let question = encode_frame(&CopyQuestion { table, after })?;
+        stream.write_all(&question).await?;
         read_frame(&mut stream).await
     };
     let failed = |err: io::Error| EntryError::new("read copy", address, err);
@@ -83,11 +108,13 @@
     Ok((delta.version > 0).then_some(delta))
 }
 
-async fn write_frame(stream: &mut TcpStream, value: &impl Serialize) -> io::Result<()> {
-    let body = postcard::to_stdvec(value).map_err(io::Error::other)?;
-    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
-    stream.write_all(&length.to_be_bytes()).await?;
-    stream.write_all(&body).await
+/// A value as it is sent: its length, then its bytes.
+fn encode_frame(value: &impl Serialize) -> io::Result<Vec<u8>> {
+    const LENGTH_BYTES: usize = size_of::<u32>();
+    let mut frame = postcard::to_extend(value, vec![0; LENGTH_BYTES]).map_err(io::Error::other)?;
+    let length = u32::try_from(frame.len() - LENGTH_BYTES).map_err(io::Error::other)?;
+    frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    Ok(frame)
 }
 
 async fn read_frame<T: serde::de::DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -13,11 +13,12 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
 };
 
 use {
+    bytes::Bytes,
     mangostep_policy::{TokenVerdict, ZoneList},
     tokio::{net::UdpSocket, sync::oneshot},
 };
@@ -30,7 +31,7 @@
     signals::tell_signal,
     tokens::ask_token,
 };
-use crate::{platform::FleetTable, prelude::*};
+use crate::{peers::copies::CopyAsked, platform::FleetTable, prelude::*};
 
 /// A change that another host has and this one lacks.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +56,8 @@
     last_homes: RefCell<HashMap<String, (String, MonotonicTime)>>,
     /// Datagrams that could not be sent since they were last counted.
     unsent: Cell<u64>,
+    /// Answers to hosts that read copies, the latest at the back.
+    frames: RefCell<VecDeque<(CopyAsked, Bytes)>>,
     /// The lists that were sent last.
     sent_lists: RefCell<Vec<ZoneList>>,
     /// Tables to be read from one of the hosts that have a newer copy.
@@ -73,6 +76,7 @@
             silent_homes: RefCell::default(),
             last_homes: RefCell::default(),
             unsent: Cell::new(0),
+            frames: RefCell::default(),
             sent_lists: RefCell::default(),
             behind: RefCell::default(),
             behind_wake: tokio::sync::Notify::new(),
