Disable objects of a followed configuration that are not understood

One value of one object made the decoding of the whole configuration fail, so no host had a configuration and no request was served. Ruled out: the services and server entries, which were read.

Change: the adapter decodes each object on its own. An unknown route type means that requests are not repeated; an object that cannot be decoded, or that fails the check of the set, is disabled or left out, logged and counted, and requests that need it get 503 at once. The rest is in force. `download` is idempotent. `check` and `publish` stay strict.

--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -1,7 +1,7 @@
 use std::collections::HashSet;
 
 use {
-    mangostep_objects::{ObjectSet, Snapshot},
+    mangostep_objects::{FollowedSet, Snapshot},
     mangostep_policy::{HostRow, ServerEntry, TableDelta, TableRow},
     slog::{info, warn},
     xxhash_rust::xxh3::xxh3_64,
@@ -90,8 +90,8 @@
             continue;
         };
         match platform.decode_operator_row(&row.key, value) {
-            Ok(OperatorRow::Configuration { version, set }) => {
-                apply_configuration(context, version, &set);
+            Ok(OperatorRow::Configuration { version, followed }) => {
+                apply_configuration(context, version, *followed);
             }
             Ok(OperatorRow::ZoneOut(_) | OperatorRow::Other) => {}
             Err(err) => {
@@ -105,19 +105,24 @@
     }
 }
 
-fn apply_configuration(context: &HostContext, version: u64, set: &ObjectSet) {
+/// Puts a configuration in force, without the objects that cannot be used.
+fn apply_configuration(context: &HostContext, version: u64, mut followed: FollowedSet) {
     let current = context.snapshot().map(|snapshot| snapshot.version());
     if current.is_some_and(|current| current >= version) {
         return;
     }
-    if let Err(err) = set.check() {
-        warn!(context.log, "configuration refused"; "version" => version, "kept" => current,
-            "error" => err.to_string());
-        return;
+    followed.disable_invalid();
+    for fault in &followed.faults {
+        context.counters.count("object-refused", &[]);
+        warn!(context.log, "object refused"; "version" => version, "object" => &fault.object,
+            "field" => &fault.field, "error" => &fault.message);
     }
-    let snapshot = Snapshot::compile(version, set);
+    let snapshot = Snapshot::compile_followed(version, &followed);
+    let FollowedSet { set, disabled, .. } = &followed;
     info!(context.log, "configuration in force"; "version" => version, "before" => current,
-        "routes" => set.routes.len(), "workspaces" => set.workspaces.len());
+        "routes" => set.routes.len(), "workspaces" => set.workspaces.len(),
+        "disabled_routes" => disabled.routes.len(),
+        "disabled_workspaces" => disabled.workspaces.len());
     *context.snapshot.borrow_mut() = Some(Rc::new(snapshot));
 }
 
--- a/crates/mangostep-entry/src/forward/refusal.rs
+++ b/crates/mangostep-entry/src/forward/refusal.rs
@@ -28,6 +28,8 @@
     OverRate(Duration),
     /// No server or memory has capacity. Holds the time after which to retry.
     NoCapacity(Duration),
+    /// The route or the workspace names an object that the host cannot use.
+    Misconfigured,
     /// The host has not loaded a configuration yet.
     NotReady,
     /// The host stops before the deadline of the request.
@@ -45,9 +47,10 @@
             Refusal::BadKey => StatusCode::UNAUTHORIZED,
             Refusal::NotGranted => StatusCode::FORBIDDEN,
             Refusal::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
-            Refusal::NoCapacity(_) | Refusal::NotReady | Refusal::Stopping => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Refusal::NoCapacity(_)
+            | Refusal::Misconfigured
+            | Refusal::NotReady
+            | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Failed => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -61,6 +64,7 @@
             Refusal::NotGranted => "not-granted",
             Refusal::OverRate(_) => "over-rate",
             Refusal::NoCapacity(_) => "no-room",
+            Refusal::Misconfigured => "misconfigured",
             Refusal::NotReady => "not-ready",
             Refusal::Stopping => "leaving",
             Refusal::Failed => "failed",
--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -95,6 +95,9 @@
     let host = head.header("host").unwrap_or_default();
     let route = snapshot.literal_route(host, head.path());
     let route = route.ok_or(Refusal::NoRoute)?;
+    if snapshot.is_disabled(route, None) {
+        return Err(Refusal::Misconfigured);
+    }
     let workspace = match route.access {
         RouteAccess::Open => None,
         RouteAccess::Keyed => {
@@ -104,11 +107,14 @@
             Some(name.ok_or(Refusal::BadKey)?)
         }
     };
+    if snapshot.is_disabled(route, workspace) {
+        return Err(Refusal::Misconfigured);
+    }
     if workspace.is_some_and(|name| !snapshot.may_use(route, name)) {
         return Err(Refusal::NotGranted);
     }
     let service = split_service(context, route);
-    let service = snapshot.service(service).ok_or(Refusal::NoRoute)?;
+    let service = snapshot.service(service).ok_or(Refusal::Misconfigured)?;
     let requested = head.header(&service.dialect.deadline_header);
     let requested = requested.and_then(|text| text.trim().parse().ok());
     let timeout = requested.map_or(route.deadline, |millis| {
--- a/crates/mangostep-entry/src/platform.rs
+++ b/crates/mangostep-entry/src/platform.rs
@@ -1,7 +1,7 @@
 use std::{error::Error, fmt, future::Future, time::Duration};
 
 use {
-    mangostep_objects::ObjectSet,
+    mangostep_objects::FollowedSet,
     mangostep_policy::{ServerEntry, TableDelta},
     serde::{Deserialize, Serialize},
 };
@@ -43,8 +43,9 @@
     Configuration {
         /// Version number, which increases with each change.
         version: u64,
-        /// Objects of the configuration.
-        set: Box<ObjectSet>,
+        /// Objects of the configuration, without those that could not be
+        /// decoded.
+        followed: Box<FollowedSet>,
     },
     /// An availability zone that is out of service and gets no new requests.
     ZoneOut(String),
--- a/crates/mangostep-objects/src/check.rs
+++ b/crates/mangostep-objects/src/check.rs
@@ -1,8 +1,8 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::{
-    Limit, NormalPath, ObjectFault, ObjectSet, PathMatch, Route, RouteAccess, Service, ZoneState,
-    normalize_host, source::ObjectLocations,
+    Limit, NormalPath, ObjectFault, ObjectSet, PathMatch, Route, RouteAccess, Service,
+    WeightedService, ZoneState, normalize_host, source::ObjectLocations,
 };
 
 const NAME_LENGTH_MAX: usize = 63;
@@ -26,7 +26,30 @@
 pub(crate) struct SetChecker<'s> {
     set: &'s ObjectSet,
     locations: &'s ObjectLocations,
-    faults: Vec<ObjectFault>,
+    strictness: CheckStrictness,
+    faults: Vec<LocatedFault>,
+}
+
+/// Which faults make an object unusable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CheckStrictness {
+    /// Every fault, as for a set that operators are about to publish.
+    Publishing,
+    /// Only faults without which the object would not be served correctly, as
+    /// for a set that another program published. Any name is accepted, and one
+    /// existing service of a split is enough.
+    Following,
+}
+
+/// A fault with the position of its object.
+#[derive(Debug)]
+pub(crate) struct LocatedFault {
+    pub(crate) kind: &'static str,
+    /// Index in the set's list of this kind.
+    pub(crate) index: usize,
+    /// Whether the object cannot be used.
+    pub(crate) is_fatal: bool,
+    pub(crate) fault: ObjectFault,
 }
 
 /// The object that is being checked, by its index in the set's list of its
@@ -39,16 +62,29 @@
 }
 
 impl<'s> SetChecker<'s> {
-    pub(crate) fn new(set: &'s ObjectSet, locations: &'s ObjectLocations) -> Self {
+    pub(crate) fn new(
+        set: &'s ObjectSet,
+        locations: &'s ObjectLocations,
+        strictness: CheckStrictness,
+    ) -> Self {
         SetChecker {
             set,
             locations,
+            strictness,
             faults: Vec::new(),
         }
     }
 
     /// Returns all faults, sorted by file and line.
-    pub(crate) fn check(mut self) -> Vec<ObjectFault> {
+    pub(crate) fn check(self) -> Vec<ObjectFault> {
+        let located = self.check_located().into_iter();
+        let mut faults: Vec<ObjectFault> = located.map(|located| located.fault).collect();
+        faults.sort_by(|a, b| (&a.file, a.line).cmp(&(&b.file, b.line)));
+        faults
+    }
+
+    /// Returns all faults with the positions of their objects.
+    pub(crate) fn check_located(mut self) -> Vec<LocatedFault> {
         self.check_names();
         self.check_limits();
         self.check_workspaces();
@@ -57,16 +93,31 @@
         self.check_routes();
         self.check_overlaps();
         self.faults
-            .sort_by(|a, b| (&a.file, a.line).cmp(&(&b.file, b.line)));
-        self.faults
     }
 
     fn add_fault(&mut self, object: CheckedObject<'_>, field: &str, message: String) {
+        self.add_located_fault(object, field, message, true);
+    }
+
+    /// Adds a fault that does not make the object unusable for a host that
+    /// follows the set.
+    fn add_tolerable_fault(&mut self, object: CheckedObject<'_>, field: &str, message: String) {
+        let is_fatal = self.strictness == CheckStrictness::Publishing;
+        self.add_located_fault(object, field, message, is_fatal);
+    }
+
+    fn add_located_fault(
+        &mut self,
+        object: CheckedObject<'_>,
+        field: &str,
+        message: String,
+        is_fatal: bool,
+    ) {
         let location = self.locations.get(&(object.kind, object.index));
         let line = location.map_or(0, |location| {
             location.fields.get(field).copied().unwrap_or(location.line)
         });
-        self.faults.push(ObjectFault {
+        let fault = ObjectFault {
             file: location
                 .map(|location| location.file.clone())
                 .unwrap_or_default(),
@@ -74,6 +125,12 @@
             object: format!("{} {}", object.kind, object.name),
             field: field.to_owned(),
             message,
+        };
+        self.faults.push(LocatedFault {
+            kind: object.kind,
+            index: object.index,
+            is_fatal,
+            fault,
         });
     }
 
@@ -98,7 +155,7 @@
         let mut seen = HashSet::new();
         for (index, name) in names.enumerate() {
             let object = CheckedObject { kind, index, name };
-            if !is_valid_name(name) {
+            if !is_valid_name(name) && self.strictness == CheckStrictness::Publishing {
                 let message = format!(
                     "must have 1 to {NAME_LENGTH_MAX} characters of a-z, 0-9, `-`, `_`, `.`"
                 );
@@ -310,7 +367,9 @@
             };
             let service = &*route.service;
             let exists = services.contains(service);
-            self.check_reference(object, "service", "service", service, exists);
+            if route.split.is_empty() || self.strictness == CheckStrictness::Publishing {
+                self.check_reference(object, "service", "service", service, exists);
+            }
             if let Some(limit) = route.limit.as_deref() {
                 self.check_reference(object, "limit", "limit", limit, limits.contains(limit));
             }
@@ -326,8 +385,10 @@
     fn check_split(&mut self, object: CheckedObject<'_>, route: &Route, services: &HashSet<&str>) {
         for share in &route.split {
             let service = &*share.service;
-            let exists = services.contains(service);
-            self.check_reference(object, "split", "service", service, exists);
+            if !services.contains(service) {
+                let message = format!("there is no service `{service}`");
+                self.add_tolerable_fault(object, "split", message);
+            }
             if !share.weight.is_finite() || share.weight < 0.0 {
                 let message = format!("the weight of service `{service}` must be 0 or more");
                 self.add_fault(object, "split", message);
@@ -337,6 +398,12 @@
             let message = "at least one weight must be more than 0".to_owned();
             self.add_fault(object, "split", message);
         }
+        let is_unknown = |share: &WeightedService| !services.contains(&*share.service);
+        let is_following = self.strictness == CheckStrictness::Following;
+        if is_following && !route.split.is_empty() && route.split.iter().all(is_unknown) {
+            let message = "none of its services exists".to_owned();
+            self.add_fault(object, "split", message);
+        }
         if route.attempts == Some(0) {
             self.add_fault(object, "attempts", "must be at least 1".to_owned());
         }
--- a/crates/mangostep-objects/src/lib.rs
+++ b/crates/mangostep-objects/src/lib.rs
@@ -9,6 +9,8 @@
 //!
 //! * [`ObjectSet`] holds the objects as written: [`Workspace`], [`Key`],
 //!   [`Route`], [`Service`], [`AvailabilityZone`] and [`Limit`].
+//! * [`FollowedSet`] disables the invalid objects of a set that another program
+//!   published, so that the others stay in force.
 //! * [`Snapshot`] is the compiled set, indexed by key and by path.
 //! * [`read_settings`] reads a settings file in the same syntax, with errors of
 //!   the same form.
@@ -30,6 +32,7 @@
 
 mod check;
 mod error;
+mod followed_set;
 mod objects;
 mod path;
 mod route_index;
@@ -39,6 +42,7 @@
 
 pub use crate::{
     error::{ObjectError, ObjectFault},
+    followed_set::{DisabledObjects, FollowedSet},
     objects::{
         AvailabilityZone, CallerLimits, Key, KeyDigest, Limit, PathMatch, RequestKind, Route,
         RouteAccess, Service, ServiceDialect, WeightedService, Workspace, ZoneState,
--- a/crates/mangostep-objects/src/route_index.rs
+++ b/crates/mangostep-objects/src/route_index.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RouteIndex {
     routes: Vec<Route>,
+    /// Position from which on the routes are disabled.
+    disabled_from: usize,
     by_host: HashMap<String, PathMap>,
     any_host: PathMap,
     /// Indices of literal routes by host name, which is empty for any host, and
@@ -23,16 +25,19 @@
         self.routes.iter()
     }
 
-    pub(crate) fn build(routes: &[Route]) -> Self {
+    /// Builds the index of usable and disabled routes. Of two routes that match
+    /// the same requests, the first usable one is found.
+    pub(crate) fn build(usable: &[Route], disabled: &[Route]) -> Self {
+        let routes: Vec<Route> = usable.iter().chain(disabled).cloned().collect();
         let mut index = RouteIndex {
-            routes: routes.to_vec(),
+            disabled_from: usable.len(),
             ..Default::default()
         };
         for (position, route) in routes.iter().enumerate() {
             if route.path_match == PathMatch::Literal {
                 let host = route.host.as_deref().map(normalize_host);
                 let prefixes = index.literal.entry(host.unwrap_or_default()).or_default();
-                prefixes.insert(route.path.clone(), position);
+                prefixes.entry(route.path.clone()).or_insert(position);
                 continue;
             }
             let paths = match &route.host {
@@ -49,9 +54,16 @@
         for positions in maps.flat_map(HashMap::values_mut) {
             positions.sort_by_key(|position| routes[*position].methods.is_empty());
         }
+        index.routes = routes;
         index
     }
 
+    /// Whether a route of this index is disabled.
+    pub(crate) fn is_disabled(&self, route: &Route) -> bool {
+        let disabled = &self.routes[self.disabled_from..];
+        disabled.iter().any(|other| std::ptr::eq(other, route))
+    }
+
     pub(crate) fn find(&self, host: &str, path: &NormalPath, method: &str) -> Option<&Route> {
         let exact_host = self.by_host.get(&normalize_host(host));
         let maps = exact_host
--- a/crates/mangostep-objects/src/set.rs
+++ b/crates/mangostep-objects/src/set.rs
@@ -3,7 +3,7 @@
 use crate::{
     AvailabilityZone, CallerLimits, Key, Limit, ObjectError, ObjectFault, Route, Service,
     Workspace,
-    check::SetChecker,
+    check::{CheckStrictness, SetChecker},
     source::{ObjectLocations, SourceReader},
 };
 
@@ -82,7 +82,7 @@
             faults.extend(reader.faults);
             set.merge(reader.set);
         }
-        faults.extend(SetChecker::new(&set, &locations).check());
+        faults.extend(SetChecker::new(&set, &locations, CheckStrictness::Publishing).check());
         if faults.is_empty() {
             Ok(set)
         } else {
@@ -96,7 +96,8 @@
     ///
     /// Returns all faults at once, without files and lines.
     pub fn check(&self) -> Result<(), ObjectError> {
-        let faults = SetChecker::new(self, &ObjectLocations::new()).check();
+        let locations = ObjectLocations::new();
+        let faults = SetChecker::new(self, &locations, CheckStrictness::Publishing).check();
         if faults.is_empty() {
             Ok(())
         } else {
--- a/crates/mangostep-objects/src/snapshot.rs
+++ b/crates/mangostep-objects/src/snapshot.rs
@@ -1,8 +1,11 @@
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use crate::{
-    AvailabilityZone, CallerLimits, KeyDigest, Limit, NormalPath, ObjectSet, Route, RouteAccess,
-    Service, ZoneState, route_index::RouteIndex,
+    AvailabilityZone, CallerLimits, DisabledObjects, FollowedSet, KeyDigest, Limit, NormalPath,
+    ObjectSet, Route, RouteAccess, Service, ZoneState, route_index::RouteIndex,
 };
 
 /// A valid set of objects, indexed for look-ups on every request.
@@ -14,6 +17,7 @@
     version: u64,
     routes: RouteIndex,
     keys: HashMap<[u8; 32], KeyOwner>,
+    disabled_workspaces: HashSet<String>,
     workspace_priorities: HashMap<String, u32>,
     callers: CallerLimits,
     workspace_limits: HashMap<String, Limit>,
@@ -41,7 +45,16 @@
     /// Compiles a set that is valid by [`ObjectSet::check`]. References to
     /// missing limits are ignored.
     pub fn compile(version: u64, set: &ObjectSet) -> Self {
-        let routes = RouteIndex::build(&set.routes);
+        Self::compile_objects(version, set, &DisabledObjects::default())
+    }
+
+    /// Compiles a set whose invalid objects are disabled.
+    pub fn compile_followed(version: u64, followed: &FollowedSet) -> Self {
+        Self::compile_objects(version, &followed.set, &followed.disabled)
+    }
+
+    fn compile_objects(version: u64, set: &ObjectSet, disabled: &DisabledObjects) -> Self {
+        let routes = RouteIndex::build(&set.routes, &disabled.routes);
         let limits_by_name: HashMap<&str, &Limit> = set
             .limits
             .iter()
@@ -64,9 +77,9 @@
                 Some((route.name.clone(), (*limit).clone()))
             })
             .collect();
-        let keys = set
-            .keys
-            .iter()
+        // A usable key takes precedence over a disabled one with its digest.
+        let all_keys = disabled.keys.iter().chain(&set.keys);
+        let keys = all_keys
             .map(|key| {
                 let owner = KeyOwner {
                     digest: key.sha256,
@@ -90,10 +103,14 @@
             .iter()
             .filter_map(|workspace| Some((workspace.name.clone(), workspace.priority?)))
             .collect();
+        let disabled_workspaces = disabled.workspaces.iter();
         Snapshot {
             version,
             routes,
             keys,
+            disabled_workspaces: disabled_workspaces
+                .map(|workspace| workspace.name.clone())
+                .collect(),
             workspace_priorities,
             callers: set.callers.clone(),
             workspace_limits,
@@ -128,6 +145,13 @@
         self.routes.find_literal(host, path)
     }
 
+    /// Whether requests on a route of this snapshot, by a workspace if they
+    /// have one, need an object that is disabled.
+    pub fn is_disabled(&self, route: &Route, workspace: Option<&str>) -> bool {
+        self.routes.is_disabled(route)
+            || workspace.is_some_and(|name| self.disabled_workspaces.contains(name))
+    }
+
     /// Iterates over all routes in the order of the object set.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.routes.iter()
