Count tokens on strong hosts that stay the same, and bound cold fallback

Cause: the hosts that count a workspace's tokens were picked from those in the look-up answers. A hot workspace raised the load, the answers grew, the home moved; while the lists spread, two homes granted at the same time. Ruled out: dead homes; no host died before 13 s. Now each zone lists its four strongest live hosts as homes, whatever the load.

Cause: with the warm servers full, every host sent its requests to the same cold server until it learned of the others' requests. The chance of such a request now follows from the fleet's rate and the time until a request is known everywhere.

--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -51,6 +51,8 @@
     pub named_min: usize,
     /// Most hosts in the look-up answers of a zone; callers take no more.
     pub named_max: usize,
+    /// Number of hosts of a zone that count the tokens of workspaces.
+    pub homes: usize,
     /// Time for which hosts stay in the look-up answers after the load
     /// required them: each change moves callers and their connections.
     pub named_hold: Duration,
@@ -77,6 +79,7 @@
             list_ttl: Duration::from_millis(4_500),
             named_min: 4,
             named_max: 64,
+            homes: 4,
             named_hold: Duration::from_secs(12),
             planned_utilization: 0.5,
             serving_rate_per_s: 3.0,
@@ -425,6 +428,7 @@
         let need = need.clamp(self.settings.named_min, self.settings.named_max);
         let peak = self.named_peak;
         let is_peak_recent = now.since(peak.at) < self.settings.named_hold;
+        let homes = self.strongest_hosts(&order);
         let count = match is_peak_recent {
             true => need.max(peak.count),
             false => need,
@@ -447,10 +451,21 @@
         ZoneList {
             zone: self.own.zone.clone(),
             named,
+            homes,
             serving,
         }
     }
 
+    /// The hosts with the most capacity among those in `order`, which decides
+    /// between equal ones.
+    fn strongest_hosts(&self, order: &[&str]) -> Vec<String> {
+        let capacity = |name: &str| self.report(name).map_or(0.0, |r| r.capacity_per_s);
+        let mut strongest = order.to_vec();
+        strongest.sort_by(|first, second| capacity(second).total_cmp(&capacity(first)));
+        strongest.truncate(self.settings.homes);
+        strongest.into_iter().map(str::to_owned).collect()
+    }
+
     /// Lists of all zones that were received within
     /// [`HostTableSettings::list_ttl`].
     pub fn lists(&self, now: MonotonicTime) -> impl Iterator<Item = &ZoneList> {
@@ -589,11 +604,12 @@
     }
 
     /// Candidates for counting the tokens of a workspace, highest-ranked
-    /// first. These are the hosts in the look-up answers, because all hosts
-    /// agree on them and detect their failure within seconds.
+    /// first. These are the strongest hosts of each zone: all hosts agree on
+    /// them, their failure is detected within seconds, and a change of the load
+    /// does not replace them.
     pub fn token_homes(&self, workspace: &str, now: MonotonicTime) -> Vec<&HostRow> {
-        let named = self.lists(now).flat_map(|list| self.rows_of(&list.named));
-        let mut names: Vec<&str> = named.map(|row| row.name.as_str()).collect();
+        let homes = self.lists(now).flat_map(|list| self.rows_of(&list.homes));
+        let mut names: Vec<&str> = homes.map(|row| row.name.as_str()).collect();
         if names.is_empty() {
             names.extend(self.rows.keys().map(String::as_str));
         }
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -85,6 +85,9 @@
     pub queue_per_slot: f64,
     /// Share of a cold server's request rate that all hosts use together.
     pub cold_rate_share: f64,
+    /// Time until the start of a request is known to all hosts, some of which
+    /// have a tenth of a core.
+    pub signal_delay: Duration,
     /// Time after which a peer's reported number of in-flight requests is
     /// ignored.
     pub peer_load_ttl: Duration,
@@ -123,6 +126,7 @@
             evidence_age_scale: Duration::from_secs(1),
             queue_per_slot: 2.0,
             cold_rate_share: 0.75,
+            signal_delay: Duration::from_millis(100),
             peer_load_ttl: Duration::from_secs(3),
             initial_duration: Duration::from_millis(250),
         }
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -673,7 +673,9 @@
         // used within its warm-up rate.
         let threshold = self.settings.lost_request_cost.as_secs_f64() * COLD_FALLBACK_CHANCE;
         let uses_cold = best.is_none_or(|(cost, _)| cost > threshold);
-        if let Some(key) = cold_fallback.filter(|_| uses_cold && request.sees_peer_traffic) {
+        if let Some(key) = cold_fallback.filter(|_| uses_cold && request.sees_peer_traffic)
+            && random.random_bool(self.cold_fallback_chance(request, cold_rate_per_s))
+        {
             return ServerChoice::Send(key);
         }
         match best {
@@ -808,10 +810,32 @@
         let Some(rate) = cold_rate_per_s else {
             return 1.0;
         };
-        let fleet_rate = request.own_rate_per_s.max(0.2) * self.host_count as f64;
+        let fleet_rate = self.fleet_rate(request);
         (rate * self.settings.cold_rate_share / fleet_rate).clamp(0.0, 1.0)
     }
 
+    /// Probability of using a cold server while the warm ones cannot take the
+    /// request. The requests that all hosts send there before they learn of
+    /// each other's must not exceed what the server can handle.
+    fn cold_fallback_chance(
+        &self,
+        request: ChoiceRequest<'_>,
+        cold_rate_per_s: Option<f64>,
+    ) -> f64 {
+        let Some(rate) = cold_rate_per_s else {
+            return 1.0;
+        };
+        let unseen = self.fleet_rate(request) * self.settings.signal_delay.as_secs_f64();
+        let capacity = (rate * self.settings.cold_rate_share).max(1.0);
+        (capacity / unseen.max(f64::EPSILON)).min(1.0)
+    }
+
+    /// Estimated requests per second of all hosts together, from the rate of
+    /// this host.
+    fn fleet_rate(&self, request: ChoiceRequest<'_>) -> f64 {
+        request.own_rate_per_s.max(0.2) * self.host_count as f64
+    }
+
     /// Expected wait for a slot, and whether the server has capacity for the
     /// request.
     fn expected_wait(
--- a/crates/mangostep-policy/src/dispatch/zone_list.rs
+++ b/crates/mangostep-policy/src/dispatch/zone_list.rs
@@ -9,6 +9,9 @@
     /// Hosts that look-ups return to callers of the zone, highest-ranked
     /// first.
     pub named: Vec<String>,
+    /// Live hosts with the most processing capacity, which count the tokens of
+    /// workspaces. Unlike `named`, they do not depend on the load.
+    pub homes: Vec<String>,
     /// Hosts that send requests to backend servers, including the named ones.
     pub serving: Vec<String>,
 }
--- a/crates/mangostep-policy/tests/dispatch/cold_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/cold_servers.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use {
     mangostep_objects::RequestKind,
@@ -208,3 +208,64 @@
         "{worst} in a second: {started:?}"
     );
 }
+
+/// Several hundred hosts with a tenth of a core each learn of each other's
+/// requests only after some time. The warm servers of a service are full, so
+/// that all hosts look for a cold one at the same moment.
+#[test]
+fn large_fleet_with_late_signals_stays_within_the_rate_of_cold_servers() {
+    const LARGE_FLEET: usize = 400;
+    const SIGNAL_DELAY_MS: u64 = 150;
+    const FLEET_RATE_PER_S: u64 = 1_000;
+    let mut random = SmallRng::seed_from_u64(5);
+    let mut pools: Vec<ServerPool> = Vec::new();
+    for _ in 0..LARGE_FLEET {
+        let mut pool = ServerPool::open(PoolSettings::default());
+        pool.set_host_count(LARGE_FLEET);
+        let entry = ServerEntry {
+            cold_left: Duration::from_secs(60),
+            ..server(0)
+        };
+        pool.put(&entry, Duration::ZERO, at_ms(0));
+        pools.push(pool);
+    }
+    let mut starts: VecDeque<(u64, usize)> = VecDeque::new();
+    let mut seconds = vec![0_u32; 20];
+    for number in 0..20 * FLEET_RATE_PER_S {
+        let now_ms = number * 1_000 / FLEET_RATE_PER_S;
+        while let Some((sent_ms, sender)) = starts.front().copied() {
+            if now_ms < sent_ms + SIGNAL_DELAY_MS {
+                break;
+            }
+            starts.pop_front();
+            for (_, pool) in pools.iter_mut().enumerate().filter(|(o, _)| *o != sender) {
+                let key = pool.find("s0").expect("every host knows the server");
+                pool.record_start(key, at_ms(now_ms));
+            }
+        }
+        let host = number as usize % LARGE_FLEET;
+        let rate = FLEET_RATE_PER_S as f64 / LARGE_FLEET as f64;
+        let choice = pools[host].choose(
+            request_at(rate, true),
+            Some(COLD_RATE_PER_S),
+            |_| true,
+            &mut random,
+            at_ms(now_ms),
+        );
+        if let ServerChoice::Send(key) = choice {
+            seconds[(now_ms / 1_000) as usize] += 1;
+            pools[host].start(key, at_ms(now_ms));
+            pools[host].finish(key);
+            starts.push_back((now_ms, host));
+        }
+    }
+    // The operators' bound for a fleet of this size: 1.5 times the rate plus
+    // ten requests.
+    let most = COLD_RATE_PER_S * 1.5 + 10.0;
+    let worst = seconds.iter().copied().max().unwrap_or_default();
+    assert!(
+        f64::from(worst) <= most,
+        "{worst} in a second, {most} allowed"
+    );
+    assert!(seconds.iter().sum::<u32>() > 20, "{seconds:?}");
+}
--- a/crates/mangostep-policy/tests/dispatch/host_table.rs
+++ b/crates/mangostep-policy/tests/dispatch/host_table.rs
@@ -397,3 +397,35 @@
     fleet.run_rounds(4);
     assert!(sees(&fleet, started + 2_500));
 }
+
+/// A hot workspace raises the load, so that more hosts are named. The hosts
+/// that count tokens must stay the same: two that count at the same time grant
+/// twice the rate. They must be strong hosts, since one of them handles every
+/// token of the workspace.
+#[test]
+fn token_homes_are_strong_and_do_not_depend_on_load() {
+    const STRONG_PER_S: f64 = 150.0;
+    let mut fleet = HostFleet::open(&["a", "b"]);
+    let strong = ["a3", "a7", "a9", "a12", "b1", "b2", "b5", "b14"];
+    for name in strong {
+        let report = fleet.reports.get_mut(name).expect("known");
+        report.capacity_per_s = STRONG_PER_S;
+    }
+    fleet.run_rounds(6);
+    let homes = |fleet: &HostFleet| -> BTreeSet<Vec<String>> {
+        let now = at_ms(fleet.now_ms);
+        let homes = fleet.live().map(|table| table.token_homes("north", now));
+        homes.map(|rows| names(&rows)).collect()
+    };
+    let before = homes(&fleet);
+    let first = before.first().expect("every host knows homes").clone();
+    assert_eq!(before.len(), 1, "{before:?}");
+    assert!(first.iter().all(|name| strong.contains(&name.as_str())));
+    let named_before = fleet.named("a");
+    for report in fleet.reports.values_mut() {
+        report.rate_per_s = 25.0;
+    }
+    fleet.run_rounds(4);
+    assert_ne!(fleet.named("a"), named_before);
+    assert_eq!(homes(&fleet), BTreeSet::from([first]));
+}
