Spare the store at the first start, and wait longer for the home of tokens

Cause: each of 443 hosts read all tables at its start, and 284 of 443 writes of host rows were refused, since one partition takes 200 writes a second. Now a fleet that starts for the first time spreads its writes over 2 s, reads the list of hosts once, and takes the other tables from watchers.

Second cause: a response of a home waits behind responses of several hundred kilobytes on a link of 10 Mbit/s, and on a host with a tenth of a core the timer runs before the task that reads datagrams; after 100 ms a second home granted, for 500 ms. Now the wait is 300 ms, datagrams that have arrived are read first, and one lost response doesn't skip a home that answers others.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -61,6 +61,10 @@
 /// Maximum time for which a starting host waits for the list of its peers.
 pub(crate) const HOSTS_WAIT_MAX: Duration = Duration::from_secs(1);
 
+/// Time over which the hosts of a fleet that starts for the first time spread
+/// the writes of their rows, which all go to one partition of the store.
+pub(crate) const FIRST_WRITES_SPREAD: Duration = Duration::from_secs(2);
+
 /// Life cycle of a host process. The phases are in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum HostPhase {
--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -50,6 +50,10 @@
     if !changed.is_empty() || is_first_read {
         let digest = digest_of(context, platform, table);
         context.tables.borrow_mut().of_mut(table).digest = digest;
+        if table == FleetTable::Hosts && is_first_read {
+            // The hosts that probably have the other tables are now known.
+            context.peers.newer_copies_wake.notify_one();
+        }
         context.report_wake.notify_one();
     }
 }
--- a/crates/mangostep-entry/src/follow/hosts.rs
+++ b/crates/mangostep-entry/src/follow/hosts.rs
@@ -53,8 +53,8 @@
 }
 
 /// Returns the peers with a newer copy of a table, in random order so that the
-/// hosts of a zone distribute their reads. Returns the seeds if there is no
-/// such peer and the table was never read.
+/// hosts of a zone distribute their reads. If there is no such peer and the
+/// table was never read, returns the zone's likely watchers and the seeds.
 fn take_sources(context: &HostContext, table: FleetTable) -> Vec<NewerCopy> {
     let mut sources = context
         .peers
@@ -63,6 +63,12 @@
         .remove(&table)
         .unwrap_or_default();
     if sources.is_empty() && !context.tables.borrow().of(table).is_known {
+        let hosts = context.hosts.borrow();
+        sources.extend(hosts.likely_watchers().map(|row| NewerCopy {
+            address: row.copies,
+            summary: None,
+            link_mbps: row.link_mbps,
+        }));
         let own = context.settings.copies;
         let seeds = context.settings.seeds.iter().filter(|seed| **seed != own);
         sources.extend(seeds.map(|seed| NewerCopy {
@@ -110,6 +116,7 @@
 fn prefers_store(context: &HostContext, source: &NewerCopy, sources: usize) -> bool {
     let readers = context.hosts.borrow().zone_rows().count();
     let bytes = source.summary.map_or(0, |summary| summary.changed_bytes);
+    let bytes = bytes / peers::COPY_COMPRESSION;
     CopySource::select(bytes, readers, sources, source.link_mbps) == CopySource::Store
 }
 
--- a/crates/mangostep-entry/src/follow/store.rs
+++ b/crates/mangostep-entry/src/follow/store.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock,
-    context::{HOSTS_WAIT_MAX, HostPhase},
+    context::{FIRST_WRITES_SPREAD, HOSTS_WAIT_MAX, HostPhase},
     follow::apply::apply,
     platform::{FleetTable, Platform, StoreError, StoreErrorKind},
     prelude::*,
@@ -32,6 +32,14 @@
 /// within half of the time within which changes must be in force.
 const FAILURE_BACKOFF_MAX: Duration = Duration::from_millis(1_000);
 
+/// Time allowed for the last writes of host rows, with a retry, when the whole
+/// fleet starts.
+const FIRST_WRITES_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time for which a host waits for its first copy of a table from a peer when
+/// the whole fleet starts.
+const FIRST_COPY_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Interval between checks whether this host is a watcher.
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -80,7 +88,14 @@
 impl<P: Platform> TableFollower<'_, P> {
     /// Reads the table once, then waits for the list of hosts. A host that
     /// knows no peers would consider itself a watcher.
+    ///
+    /// When the whole fleet starts, the list is read once all hosts have
+    /// written their rows, and hosts other than watchers first wait for copies
+    /// of the other tables from peers.
     async fn read_first(&mut self) {
+        if self.context.settings.is_first_start {
+            return self.read_at_first_start().await;
+        }
         self.read().await;
         let started = clock::now();
         let knows_hosts = || self.context.tables.borrow().of(FleetTable::Hosts).is_known;
@@ -89,6 +104,29 @@
         }
     }
 
+    async fn read_at_first_start(&mut self) {
+        if self.table == FleetTable::Hosts {
+            tokio::time::sleep(FIRST_WRITES_SPREAD + FIRST_WRITES_MARGIN).await;
+            return self.read().await;
+        }
+        let is_known = |table| self.context.tables.borrow().of(table).is_known;
+        let wait_max = FIRST_WRITES_SPREAD + FIRST_WRITES_MARGIN + HOSTS_WAIT_MAX;
+        while !is_known(FleetTable::Hosts) && self.age() < wait_max {
+            tokio::time::sleep(ROLE_POLL_INTERVAL).await;
+        }
+        let wait_max = self.age() + FIRST_COPY_WAIT;
+        let is_watcher = || self.context.hosts.borrow().is_watcher(clock::now());
+        while !is_known(self.table) && !is_watcher() && self.age() < wait_max {
+            tokio::time::sleep(ROLE_POLL_INTERVAL).await;
+        }
+        self.is_complete = is_known(self.table);
+    }
+
+    /// Time since this host started.
+    fn age(&self) -> Duration {
+        clock::now().since(self.context.opened)
+    }
+
     /// Whether this host should read the table now.
     fn should_read(&mut self) -> bool {
         let is_watcher = self.context.hosts.borrow().is_watcher(clock::now());
--- a/crates/mangostep-entry/src/peers/copies.rs
+++ b/crates/mangostep-entry/src/peers/copies.rs
@@ -1,7 +1,11 @@
-use std::{io, net::SocketAddr};
+use std::{
+    io::{self, Read, Write},
+    net::SocketAddr,
+};
 
 use {
     bytes::Bytes,
+    flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder},
     mangostep_policy::TableDelta,
     serde::{Deserialize, Serialize},
     slog::info,
@@ -25,6 +29,12 @@
 /// fleet of the target size.
 const DELTA_BYTES_MAX: u32 = 8 << 20;
 
+/// Bytes that the length of a frame takes.
+const LENGTH_BYTES: usize = size_of::<u32>();
+
+/// Lowest expected ratio of the size of a change to its size on the network.
+pub(crate) const COPY_COMPRESSION: usize = 4;
+
 /// Number of encoded copies kept for further hosts with the same request: the
 /// last two changes of each table.
 const FRAMES_MAX: usize = 6;
@@ -109,10 +119,14 @@
     Ok((delta.version > 0).then_some(delta))
 }
 
-/// Encodes a value as a frame: its length, then its bytes.
+/// Encodes a value as a frame: the length of its compressed form, then that
+/// form.
 fn encode_frame(value: &impl Serialize) -> io::Result<Vec<u8>> {
-    const LENGTH_BYTES: usize = size_of::<u32>();
-    let mut frame = postcard::to_extend(value, vec![0; LENGTH_BYTES]).map_err(io::Error::other)?;
+    let bytes = postcard::to_stdvec(value).map_err(io::Error::other)?;
+    let frame = vec![0; LENGTH_BYTES];
+    let mut encoder = DeflateEncoder::new(frame, Compression::fast());
+    encoder.write_all(&bytes)?;
+    let mut frame = encoder.finish()?;
     let length = u32::try_from(frame.len() - LENGTH_BYTES).map_err(io::Error::other)?;
     frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
     Ok(frame)
@@ -123,7 +137,26 @@
     if length > DELTA_BYTES_MAX {
         return Err(io::Error::other("the frame is too large"));
     }
-    let mut body = vec![0; length as usize];
-    stream.read_exact(&mut body).await?;
-    postcard::from_bytes(&body).map_err(io::Error::other)
+    // Memory grows with the received bytes, not with the announced length.
+    let mut compressed = Vec::new();
+    stream
+        .take(length.into())
+        .read_to_end(&mut compressed)
+        .await?;
+    if compressed.len() < length as usize {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    decode_frame(&compressed)
+}
+
+/// Decodes the compressed form of a value of at most [`DELTA_BYTES_MAX`] bytes.
+fn decode_frame<T: serde::de::DeserializeOwned>(compressed: &[u8]) -> io::Result<T> {
+    let mut bytes = Vec::new();
+    let bytes_max = u64::from(DELTA_BYTES_MAX);
+    let decoder = DeflateDecoder::new(compressed);
+    decoder.take(bytes_max + 1).read_to_end(&mut bytes)?;
+    if bytes.len() as u64 > bytes_max {
+        return Err(io::Error::other("the decompressed frame is too large"));
+    }
+    postcard::from_bytes(&bytes).map_err(io::Error::other)
 }
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -24,7 +24,7 @@
 };
 
 pub(crate) use self::{
-    copies::{read_copy, serve_copies},
+    copies::{COPY_COMPRESSION, read_copy, serve_copies},
     messages::TableSummary,
     receiving::receive,
     reporting::{report, report_once},
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -16,6 +16,9 @@
 /// Maximum size of a datagram, in bytes.
 const DATAGRAM_BYTES_MAX: usize = 16 << 10;
 
+/// Maximum number of datagrams that are handled at once.
+const ARRIVED_MAX: usize = 256;
+
 /// Pause after an error of the socket.
 const RECEIVE_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -33,6 +36,20 @@
     }
 }
 
+/// Handles the datagrams that have arrived already.
+///
+/// On a host with a tenth of a core, a timer may expire before the task that
+/// receives datagrams runs. A response that has arrived is not missing.
+pub(crate) fn receive_arrived(context: &HostContext) {
+    let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+    for _ in 0..ARRIVED_MAX {
+        let Ok((length, from)) = context.peers.socket.try_recv_from(&mut buffer) else {
+            return;
+        };
+        handle(context, &buffer[..length], from);
+    }
+}
+
 fn handle(context: &HostContext, bytes: &[u8], from: SocketAddr) {
     match decode(bytes) {
         Some(PeerMessage::Report(report)) => handle_report(context, *report),
--- a/crates/mangostep-entry/src/peers/tokens.rs
+++ b/crates/mangostep-entry/src/peers/tokens.rs
@@ -9,14 +9,23 @@
 
 use crate::{
     clock,
-    peers::messages::{PeerMessage, TokenRequest, encode},
+    peers::{
+        messages::{PeerMessage, TokenRequest, encode},
+        receiving::receive_arrived,
+    },
     prelude::*,
 };
 
 /// Timeouts for the response to a token request, one for each time it is sent.
-/// A response takes a few milliseconds, and some tens of milliseconds from a
-/// busy host with a tenth of a core.
-const RESPONSE_TIMEOUTS: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(70)];
+///
+/// A response takes a few milliseconds, but it may wait behind a response of
+/// several hundred kilobytes on a link of 10 Mbit/s. A wait costs less than a
+/// second home that grants tokens at the same time.
+const RESPONSE_TIMEOUTS: [Duration; 3] = [
+    Duration::from_millis(30),
+    Duration::from_millis(70),
+    Duration::from_millis(200),
+];
 
 /// Maximum number of limit homes that are tried for one token before the host
 /// decides alone.
@@ -68,12 +77,11 @@
             return TokenDecision { verdict, home };
         }
         warn!(context.log, "token home silent"; "home" => &name, "workspace" => workspace);
-        let until = clock::now() + HOME_SKIP_TIME;
-        context
-            .peers
-            .unresponsive_homes
-            .borrow_mut()
-            .insert(name, until);
+        if !has_responded_recently(context, &name) {
+            let until = clock::now() + HOME_SKIP_TIME;
+            let mut unresponsive = context.peers.unresponsive_homes.borrow_mut();
+            unresponsive.insert(name, until);
+        }
     }
     context.counters.count("token-asked-alone", &[]);
     // Any number of hosts may be partitioned from the homes.
@@ -123,6 +131,15 @@
         .is_some_and(|(name, at)| name != home && clock::now().since(*at) < window)
 }
 
+/// Whether a home responded to another request of this host while one was
+/// lost.
+fn has_responded_recently(context: &HostContext, home: &str) -> bool {
+    let now = clock::now();
+    let last_homes = context.peers.last_homes.borrow();
+    let mut responses = last_homes.values().filter(|(name, _)| name == home);
+    responses.any(|(_, at)| now.since(*at) < HOME_SKIP_TIME)
+}
+
 fn record_home(context: &HostContext, workspace: &str, home: &str) {
     let mut last_homes = context.peers.last_homes.borrow_mut();
     match last_homes.get_mut(workspace) {
@@ -194,6 +211,10 @@
         if let Ok(response) = timeout(response_timeout, &mut receiver).await {
             return response.ok();
         }
+        receive_arrived(context);
+        if let Ok(verdict) = receiver.try_recv() {
+            return Some(verdict);
+        }
     }
     drop(pending);
     None
--- a/crates/mangostep-entry/src/settings.rs
+++ b/crates/mangostep-entry/src/settings.rs
@@ -38,6 +38,9 @@
     /// `copies` addresses of a few hosts, from which tables are read while the
     /// store is unavailable.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time. Hosts then take
+    /// longer to become ready, to spare the store.
+    pub is_first_start: bool,
     /// IP address and port of the platform's store.
     pub store: String,
     /// CPU capacity of this host, in cores.
@@ -65,6 +68,7 @@
             peer: local(8084),
             metrics: None,
             seeds: Vec::new(),
+            is_first_start: false,
             store: "127.0.0.1:7000".to_owned(),
             cpu_share: 1.0,
             link_mbps: 100.0,
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -79,7 +79,7 @@
             list_ttl: Duration::from_millis(4_500),
             named_min: 4,
             named_max: 64,
-            homes: 4,
+            homes: 2,
             named_hold: Duration::from_secs(12),
             planned_utilization: 0.5,
             serving_rate_per_s: 3.0,
@@ -386,6 +386,18 @@
         })
     }
 
+    /// The other hosts of the zone that rank highest as watchers, whether or
+    /// not they are alive.
+    pub fn likely_watchers(&self) -> impl Iterator<Item = &HostRow> {
+        let others = self.zone_rows().filter(|row| row.name != self.own.name);
+        let mut ranked: Vec<&HostRow> = others.collect();
+        ranked.sort_by(|first, second| match self.outranks(&first.name, &second.name) {
+            true => Ordering::Less,
+            false => Ordering::Greater,
+        });
+        ranked.into_iter().take(self.settings.watchers)
+    }
+
     fn is_live_watcher(&self, name: &str, now: MonotonicTime) -> bool {
         self.has_reported(name, self.settings.watcher_timeout, now)
             && self.reports[name].report.is_watcher
