Write the row of a restarted host at once

Change: the row is written at once again. Only a fleet that starts for the first time spreads its writes, and reads the list after them.

--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -21,9 +21,7 @@
 use crate::{
     back::ConnectionPools,
     clock,
-    context::{
-        FIRST_WRITES_SPREAD, HOSTS_WAIT_MAX, HostContext, HostPhase, ShutdownTimes, TableStates,
-    },
+    context::{FIRST_WRITES_SPREAD, HostContext, HostPhase, ShutdownTimes, TableStates},
     follow,
     front::{
         pages::{PageResponse, serve_pages},
@@ -65,9 +63,6 @@
 /// row is written, peers know the host from its reports.
 const HOST_ROW_BACKOFF_MAX: Duration = Duration::from_secs(5);
 
-/// Interval between checks whether the table of hosts was read.
-const HOSTS_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Interval between removals of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -245,8 +240,7 @@
     }
 }
 
-/// Writes the row of this host unless the store has it, and retries until the
-/// store confirms it.
+/// Writes the row of this host, and retries until the store confirms it.
 async fn write_own_row<P: Platform>(context: Rc<HostContext>, platform: Rc<P>) {
     wait_before_first_write(&context).await;
     let row = context.hosts.borrow().own().clone();
@@ -257,14 +251,6 @@
             return;
         }
     };
-    let is_written = {
-        let tables = context.tables.borrow();
-        let mut rows = tables.of(FleetTable::Hosts).copy.rows();
-        rows.any(|(key, known)| key == row.name && known == value)
-    };
-    if is_written {
-        return;
-    }
     let mut backoff = HOST_ROW_BACKOFF_MIN;
     loop {
         let started = clock::now();
@@ -285,19 +271,12 @@
     }
 }
 
-/// Waits for the table of hosts, which may have the row of this host already.
-/// When the whole fleet starts, there are no rows; its hosts spread their
-/// writes instead.
+/// Spreads the writes of a fleet that starts for the first time. Otherwise the
+/// row is written at once: the other hosts may be about to read the list.
 async fn wait_before_first_write(context: &HostContext) {
     if context.settings.is_first_start {
         let spread = context.random.borrow_mut().random_range(0.0..1.0);
         tokio::time::sleep(FIRST_WRITES_SPREAD.mul_f64(spread)).await;
-        return;
-    }
-    let started = clock::now();
-    let knows_hosts = || context.tables.borrow().of(FleetTable::Hosts).is_known;
-    while !knows_hosts() && clock::now().since(started) < HOSTS_WAIT_MAX {
-        tokio::time::sleep(HOSTS_POLL_INTERVAL).await;
     }
 }
 
