Show that hosts miss changes while all store connections are silent

The test silences the store connections of six hosts, publishes a second later, and expects the change on all within two seconds. It fails: no host learns of it.

--- a/crates/standins/tests/entry_fleet.rs
+++ b/crates/standins/tests/entry_fleet.rs
@@ -18,6 +18,10 @@
 /// Longest time until a change is in force, by the operators' agreement.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time after a fault of its connections from which on a host must meet the
+/// bounds again, by the operators' agreement.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
 /// Longest time until look-ups reflect that a host has started or ended.
 const LOOKUP_UPDATE_LIMIT: Duration = Duration::from_secs(6);
 
@@ -124,6 +128,22 @@
     fleet.close();
 }
 
+/// Hosts kept an old configuration for as long as a watch call may last when
+/// the store connections of the whole fleet fell silent at once: the kernels
+/// still answered keep-alive probes, so no call failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_is_in_force_after_all_feeds_fall_silent() {
+    let fleet = fleet(1_000.0).await;
+    sleep(Duration::from_millis(1_500)).await;
+    for host in &fleet.hosts {
+        host.store().run(ProxyCommand::Silence { source: None });
+    }
+    // Hosts count as connected again three seconds after such a fault.
+    sleep(CONTACT_TIME - IN_FORCE_LIMIT).await;
+    replace_key(&fleet).await;
+    fleet.close();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lookups_omit_host_that_shuts_down() {
     let fleet = fleet(1_000.0).await;
