Detect silent store connections by a missing response

What callers saw: requests handled by an old configuration more than two seconds after a newer one was accepted, for as long as a watch call may last. Cause: a host took a watch call without a response for a store without changes. Its calls lasted up to 25 s, and only TCP keep-alive could end one on a silent connection; a relay's kernel still answers the probes. When all connections fell silent at once, no host was left to tell the others.

The lead watcher of each zone now lets the store hold its call for 1 s, with 1 s more for the response. A host that becomes lead starts a new call.

--- a/crates/mangostep-entry/src/follow/store.rs
+++ b/crates/mangostep-entry/src/follow/store.rs
@@ -17,6 +17,14 @@
 /// peers.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 
+/// Maximum time for which the store holds a watch call of the lead watcher. A
+/// connection may go silent while its peer's kernel still answers keep-alive
+/// probes, and all connections may do so at once, so that only a missing
+/// response shows the fault. With the time allowed for that response, a
+/// reconnect and the reports to peers, this is less than the 3 s after which
+/// changes must be in force again.
+const LEAD_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause after a response, so that a burst of changes results in one response.
 /// It is a quarter of the time within which changes must be in force.
 const WATCH_PAUSE: Duration = Duration::from_millis(450);
@@ -145,10 +153,10 @@
         let after = context.tables.borrow().of(self.table).copy.version();
         let started = clock::now();
         let (call, read) = match self.is_complete {
-            true => {
-                let watched = self.platform.watch_table(self.table, after, WATCH_TIMEOUT);
-                ("watch", watched.await)
-            }
+            true => match self.watch(after).await {
+                Some(read) => ("watch", read),
+                None => return,
+            },
             false => ("read", self.platform.read_table(self.table).await),
         };
         let outcome = read
@@ -170,6 +178,35 @@
         }
     }
 
+    /// Waits for changes after a version. Returns `None` if this host became
+    /// the lead watcher meanwhile: its call may be on a silent connection, and
+    /// no other watcher would notice.
+    async fn watch(&self, after: u64) -> Option<Result<TableDelta, StoreError>> {
+        if self.is_lead() {
+            let wait = LEAD_WATCH_TIMEOUT;
+            return Some(self.platform.watch_table(self.table, after, wait).await);
+        }
+        tokio::select! {
+            read = self.platform.watch_table(self.table, after, WATCH_TIMEOUT) => Some(read),
+            () = self.wait_for_lead() => {
+                info!(self.context.log, "watch restarted"; "table" => self.table.as_str());
+                None
+            }
+        }
+    }
+
+    async fn wait_for_lead(&self) {
+        while !self.is_lead() {
+            tokio::time::sleep(ROLE_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Whether this host verifies its connection for the table often. Changes
+    /// of the list of hosts also arrive with the hosts' reports.
+    fn is_lead(&self) -> bool {
+        self.table != FleetTable::Hosts && self.context.hosts.borrow().is_lead_watcher(clock::now())
+    }
+
     async fn apply_delta(&mut self, delta: TableDelta) {
         let context = self.context;
         if self.failures > 0 {
--- a/crates/mangostep-policy/src/dispatch/host_table.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table.rs
@@ -340,6 +340,13 @@
         self.refused_since.is_some_and(is_turn) && !self.own_refusal.is_some_and(is_refused)
     }
 
+    /// Whether this host is the first watcher of its zone that the store
+    /// answers. It verifies often that its connection to the store still works;
+    /// the other watchers depend on it for that.
+    pub fn is_lead_watcher(&self, now: MonotonicTime) -> bool {
+        self.is_watcher(now) && !self.higher_hosts(now).any(|host| host.is_answered)
+    }
+
     /// Whether `first` ranks higher than `second` as a watcher. Hosts with the
     /// widest links rank first, since watchers send changes to all hosts of
     /// their zone.
--- a/crates/mangostep-policy/tests/dispatch/host_table.rs
+++ b/crates/mangostep-policy/tests/dispatch/host_table.rs
@@ -284,6 +284,44 @@
     assert_eq!(others.count(), 3, "{after:?}");
 }
 
+/// Without a lead watcher, a fleet whose store connections have gone silent
+/// takes that for a store without changes.
+#[test]
+fn each_zone_has_one_lead_watcher_that_the_store_answers() {
+    let mut fleet = HostFleet::open(&["a", "b"]);
+    fleet.run_rounds(6);
+    let lead = |fleet: &HostFleet, zone: &str| {
+        let now = at_ms(fleet.now_ms);
+        let leads = fleet
+            .live()
+            .filter(|table| table.own().zone == zone && table.is_lead_watcher(now));
+        let leads: Vec<String> = leads.map(|table| table.own().name.clone()).collect();
+        assert_eq!(leads.len(), 1, "{leads:?}");
+        leads[0].clone()
+    };
+    let first = lead(&fleet, "a");
+    let other_zone = lead(&fleet, "b");
+    let refused = PeerReport {
+        store_failed: true,
+        ..ready()
+    };
+    fleet.reports.insert(first.clone(), refused);
+    fleet.run_rounds(2);
+    let now = at_ms(fleet.now_ms);
+    let second = fleet.live().find(|table| {
+        table.own().name != first && table.own().zone == "a" && table.is_lead_watcher(now)
+    });
+    let second = second.map(|table| table.own().name.clone());
+    let second = second.expect("a host replaces the lead that the store refuses");
+    fleet.reports.insert(first.clone(), ready());
+    fleet.run_rounds(2);
+    assert_eq!(lead(&fleet, "a"), first);
+    fleet.dead.insert(first);
+    fleet.run_rounds(4);
+    assert_eq!(lead(&fleet, "a"), second);
+    assert_eq!(lead(&fleet, "b"), other_zone);
+}
+
 /// The store fails for all hosts: few hosts call it, so that it is not flooded
 /// when it recovers, and its recovery is noticed.
 #[test]
