Show outdated copies of tables in logs and metrics

Hosts that were cut off together confirmed each other's copies, so the age of a table stayed under half a second while no host of the fleet had heard from the store for ten.

Reports now carry the age of each copy, and a host takes the sender's age for its own when the contents agree. A copy without confirmation for 5 s is logged as outdated, once, and again when it is current. The datagram format is 5.

entry_fleet: outdated_copies_are_logged_while_no_host_reaches_the_store fails without the change (no such line within 12 s).

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -112,8 +112,10 @@
     /// Whether the table was read at least once.
     pub(crate) is_known: bool,
     /// Time at which the copy was last known to be current, either from a read
-    /// or from a report with the same digest.
+    /// of the store or from the report of a host with the same contents.
     pub(crate) confirmed: MonotonicTime,
+    /// Whether the copy was logged as outdated.
+    pub(crate) is_outdated: bool,
 }
 
 impl TableState {
--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -2,7 +2,7 @@
 
 use {
     mangostep_objects::{FollowedSet, Snapshot},
-    mangostep_policy::{HostRow, ServerEntry, TableDelta, TableRow},
+    mangostep_policy::{CopySource, HostRow, ServerEntry, TableDelta, TableRow},
     slog::{info, warn},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -19,7 +19,7 @@
     platform: &P,
     table: FleetTable,
     delta: TableDelta,
-    source: &'static str,
+    source: CopySource,
 ) {
     let (version, is_first_read, changed, total) = {
         let mut tables = context.tables.borrow_mut();
@@ -31,7 +31,9 @@
             table == FleetTable::Servers && is_heartbeat(platform, known, new)
         });
         state.is_known = true;
-        state.confirmed = clock::now();
+        if source == CopySource::Store && version >= state.copy.version() {
+            state.confirmed = clock::now();
+        }
         let sizes = changed
             .iter()
             .map(|row| row.value.as_ref().map_or(0, Vec::len));
@@ -39,7 +41,7 @@
         (version, is_first_read, changed, total)
     };
     if !changed.is_empty() {
-        info!(context.log, "table changed"; "table" => table.as_str(), "source" => source,
+        info!(context.log, "table changed"; "table" => table.as_str(), "source" => source.as_str(),
             "version" => version, "rows" => changed.len());
     }
     match table {
--- a/crates/mangostep-entry/src/follow/hosts.rs
+++ b/crates/mangostep-entry/src/follow/hosts.rs
@@ -130,7 +130,7 @@
     let read = platform.watch_table(table, after, Duration::ZERO);
     let error = match tokio::time::timeout(STORE_READ_TIMEOUT, read).await {
         Ok(Ok(delta)) => {
-            apply(context, platform, table, delta, "store");
+            apply(context, platform, table, delta, CopySource::Store);
             return true;
         }
         Ok(Err(err)) => err.to_string(),
@@ -148,7 +148,7 @@
 ) {
     let after = context.tables.borrow().of(table).copy.version();
     match peers::read_copy(table, after, address).await {
-        Ok(Some(delta)) => apply(context, platform, table, delta, "host"),
+        Ok(Some(delta)) => apply(context, platform, table, delta, CopySource::Host),
         Ok(None) => {}
         Err(err) => {
             info!(context.log, "copy not read"; "table" => table.as_str(),
--- a/crates/mangostep-entry/src/follow/store.rs
+++ b/crates/mangostep-entry/src/follow/store.rs
@@ -1,5 +1,5 @@
 use {
-    mangostep_policy::TableDelta,
+    mangostep_policy::{CopySource, TableDelta},
     rand::RngExt,
     slog::{info, warn},
 };
@@ -201,10 +201,9 @@
         }
     }
 
-    /// Whether this host verifies its connection for the table often. Changes
-    /// of the list of hosts also arrive with the hosts' reports.
+    /// Whether this host verifies its connection for the table often.
     fn is_lead(&self) -> bool {
-        self.table != FleetTable::Hosts && self.context.hosts.borrow().is_lead_watcher(clock::now())
+        self.table.is_verified_often() && self.context.hosts.borrow().is_lead_watcher(clock::now())
     }
 
     async fn apply_delta(&mut self, delta: TableDelta) {
@@ -216,7 +215,7 @@
         self.failures = 0;
         self.is_complete = true;
         context.record_store_call(true);
-        apply(context, self.platform, self.table, delta, "store");
+        apply(context, self.platform, self.table, delta, CopySource::Store);
         let pause = match self.table {
             FleetTable::Hosts => HOSTS_PAUSE,
             FleetTable::Operator | FleetTable::Servers => WATCH_PAUSE,
--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -8,7 +8,7 @@
 use crate::platform::FleetTable;
 
 /// Version of the datagram format. Datagrams of other versions are dropped.
-pub(crate) const MESSAGE_VERSION: u8 = 4;
+pub(crate) const MESSAGE_VERSION: u8 = 5;
 
 /// A datagram from one host to another. The order of variants and fields is
 /// part of the format.
@@ -53,6 +53,8 @@
     pub(crate) digest: u64,
     /// Size of the rows in the most recent change, in bytes.
     pub(crate) changed_bytes: usize,
+    /// Time since the sender's copy was known to be current, in milliseconds.
+    pub(crate) age_ms: u32,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -107,7 +107,8 @@
     for summary in report.tables {
         let own = tables.of_mut(summary.table);
         if own.digest == summary.digest {
-            own.confirmed = now;
+            let age = Duration::from_millis(summary.age_ms.into());
+            own.confirmed = own.confirmed.max(now - age);
         }
         if let Some((address, link_mbps)) =
             source.filter(|_| own.is_older_than(&summary) || !own.is_known)
--- a/crates/mangostep-entry/src/peers/reporting.rs
+++ b/crates/mangostep-entry/src/peers/reporting.rs
@@ -2,7 +2,7 @@
 
 use {
     mangostep_policy::{HostTable, PeerReport, ZoneList},
-    slog::info,
+    slog::{info, warn},
 };
 
 use crate::{
@@ -28,6 +28,10 @@
 /// report.
 const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(50);
 
+/// Age from which on a copy is logged as outdated. While the store answers one
+/// host of the fleet, all copies are confirmed every two to three seconds.
+const OUTDATED_AGE: Duration = Duration::from_secs(5);
+
 /// Number of rounds after which unchanged zone lists are sent again, for hosts
 /// that started in the meantime or lost a datagram.
 const LIST_ROUNDS: usize = 4;
@@ -69,21 +73,14 @@
         report,
         row: Some(hosts.own().clone()),
         lists,
-        tables: table_summaries(context),
+        tables: table_summaries(context, now),
     }));
     let bytes = encode(&message);
     let own_zone_targets = hosts.report_targets(now).into_iter();
     for peer in own_zone_targets.chain(hosts.cross_zone_targets(round, now)) {
         context.peers.send(&bytes, peer);
     }
-    for table in FleetTable::ALL {
-        let tables = context.tables.borrow();
-        let state = tables.of(table);
-        if state.is_known {
-            let age = now.since(state.confirmed);
-            context.counters.record_table_age(table.as_str(), age);
-        }
-    }
+    record_table_ages(context, now);
     let unsent = context.peers.unsent.take();
     if unsent > 0 {
         info!(context.log, "datagrams not sent"; "count" => unsent);
@@ -112,7 +109,31 @@
     lists
 }
 
-fn table_summaries(context: &HostContext) -> Vec<TableSummary> {
+/// Records the age of each copy, and logs when one becomes outdated and when it
+/// is current again.
+fn record_table_ages(context: &HostContext, now: MonotonicTime) {
+    let mut tables = context.tables.borrow_mut();
+    for table in FleetTable::ALL {
+        let state = tables.of_mut(table);
+        if !state.is_known {
+            continue;
+        }
+        let age = now.since(state.confirmed);
+        context.counters.record_table_age(table.as_str(), age);
+        let is_outdated = table.is_verified_often() && age > OUTDATED_AGE;
+        if is_outdated == std::mem::replace(&mut state.is_outdated, is_outdated) {
+            continue;
+        }
+        match is_outdated {
+            true => warn!(context.log, "copy outdated"; "table" => table.as_str(),
+                "age_ms" => age.as_millis() as u64, "version" => state.copy.version()),
+            false => info!(context.log, "copy current"; "table" => table.as_str(),
+                "version" => state.copy.version()),
+        }
+    }
+}
+
+fn table_summaries(context: &HostContext, now: MonotonicTime) -> Vec<TableSummary> {
     let tables = context.tables.borrow();
     let known = FleetTable::ALL
         .into_iter()
@@ -123,6 +144,8 @@
             version: tables.of(table).copy.version(),
             digest: tables.of(table).digest,
             changed_bytes: tables.of(table).changed_bytes,
+            age_ms: u32::try_from(now.since(tables.of(table).confirmed).as_millis())
+                .unwrap_or(u32::MAX),
         })
         .collect()
 }
--- a/crates/mangostep-entry/src/platform.rs
+++ b/crates/mangostep-entry/src/platform.rs
@@ -31,6 +31,13 @@
         }
     }
 
+    /// Whether the lead watcher of each zone verifies every few seconds that
+    /// its copy is current. Changes of the list of hosts also arrive with the
+    /// hosts' reports.
+    pub(crate) fn is_verified_often(self) -> bool {
+        self != FleetTable::Hosts
+    }
+
     pub(crate) fn index(self) -> usize {
         self as usize
     }
--- a/crates/mangostep-policy/src/dispatch/copy_source.rs
+++ b/crates/mangostep-policy/src/dispatch/copy_source.rs
@@ -9,6 +9,16 @@
     Store,
 }
 
+impl CopySource {
+    /// Label of the source in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            CopySource::Host => "host",
+            CopySource::Store => "store",
+        }
+    }
+}
+
 /// Longest time for which one change may occupy a host's link: a quarter of
 /// the time within which a change must be in force.
 const LINK_TIME_MAX: Duration = Duration::from_millis(500);
--- a/crates/standins/src/entry_fleet/host.rs
+++ b/crates/standins/src/entry_fleet/host.rs
@@ -171,6 +171,13 @@
         }
     }
 
+    /// Log lines of the current process, which it writes to standard output;
+    /// empty before the first start.
+    pub fn log_text(&self) -> String {
+        let path = format!("{}-{}.out", self.name, self.starts);
+        std::fs::read_to_string(self.directory.join(path)).unwrap_or_default()
+    }
+
     /// Last part of the process's standard error output.
     pub fn log_tail(&self) -> String {
         let process = self.process();
--- a/crates/standins/tests/entry_fleet.rs
+++ b/crates/standins/tests/entry_fleet.rs
@@ -144,6 +144,29 @@
     fleet.close();
 }
 
+/// Hosts that were cut off together confirmed each other's copies, so that
+/// neither logs nor metrics showed that all were outdated.
+#[tokio::test(flavor = "multi_thread")]
+async fn outdated_copies_are_logged_while_no_host_reaches_the_store() {
+    let fleet = fleet(1_000.0).await;
+    let set_rule = |rule| {
+        for host in &fleet.hosts {
+            host.store().run(ProxyCommand::Rule { source: None, rule });
+        }
+    };
+    let wait_for_line = async |message: &str, within: Duration| {
+        for host in &fleet.hosts {
+            let has_line = || host.log_text().contains(message);
+            wait_until(within, async || has_line()).await;
+        }
+    };
+    set_rule(LinkRule::CUT_BOTH);
+    wait_for_line("copy outdated", Duration::from_secs(12)).await;
+    set_rule(LinkRule::default());
+    wait_for_line("copy current", Duration::from_secs(6)).await;
+    fleet.close();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lookups_omit_host_that_shuts_down() {
     let fleet = fleet(1_000.0).await;
