--- a/crates/standins/src/entry_fleet/mod.rs
+++ b/crates/standins/src/entry_fleet/mod.rs
@@ -13,8 +13,8 @@
 use serde_json::json;
 
 use crate::{
-    AnswerPlan, BackendLog, CallerConnection, RequestSpec, SignedBackend, SignedBackendSettings,
-    StandinError, TableStub,
+    AnswerPlan, BackendLog, BackendStatement, CallerConnection, RequestSpec, SignedBackend,
+    SignedBackendSettings, StandinError, TableStub,
     fleet::{AddressBlock, AddressRole, FleetPrograms},
     proxy::{FaultProxy, ProxyHandle},
 };
@@ -272,6 +272,14 @@
         }
     }
 
+    /// Sets what a backend server states in its next answers; does nothing while
+    /// it is down.
+    pub fn set_statement(&self, index: usize, statement: BackendStatement) {
+        if let Some(backend) = &self.servers[index].backend {
+            backend.set_statement(statement);
+        }
+    }
+
     /// Writes the entry of a backend server to the store, with a state such as
     /// `ready` or `draining`.
     pub fn write_entry(&self, index: usize, state: &str) {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -50,7 +50,8 @@
     error::StandinError,
     http::TruncationPoint,
     signed_backend::{
-        AnswerMode, AnswerPlan, BackendArrival, BackendLog, SignedBackend, SignedBackendSettings,
+        AnswerMode, AnswerPlan, BackendArrival, BackendLog, BackendStatement, SignedBackend,
+        SignedBackendSettings,
     },
     table_stub::{StoreMode, TableStub},
     usage::ProcessUsage,
--- a/crates/standins/src/signed_backend.rs
+++ b/crates/standins/src/signed_backend.rs
@@ -89,6 +89,31 @@
     }
 }
 
+/// What a backend server states about itself in its answers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BackendStatement {
+    /// Requests per second that it takes from all hosts together, as the text
+    /// of the header `server-limit`.
+    pub rate_limit: Option<String>,
+    /// Whether it is leaving, stated by the header `server-leaving`.
+    pub is_leaving: bool,
+    /// Text of the header `retry-after` of its answers with status 503, in
+    /// seconds.
+    pub retry_after: Option<String>,
+}
+
+impl BackendStatement {
+    fn headers(&self, status: &str) -> String {
+        let limit = self.rate_limit.iter();
+        let limit = limit.map(|limit| format!("server-limit: {limit}\r\n"));
+        let leaving = self.is_leaving.then(|| "server-leaving: 1\r\n".to_owned());
+        let wait = self.retry_after.iter();
+        let wait = wait.filter(|_| status.starts_with("503"));
+        let wait = wait.map(|wait| format!("retry-after: {wait}\r\n"));
+        limit.chain(leaving).chain(wait).collect()
+    }
+}
+
 /// A request that reached a backend server.
 #[derive(Clone, Debug)]
 pub struct BackendArrival {
@@ -175,6 +200,7 @@
 struct BackendShared {
     settings: SignedBackendSettings,
     log: BackendLog,
+    statement: Mutex<BackendStatement>,
     random: Mutex<SmallRng>,
     connections: Mutex<Vec<JoinHandle<()>>>,
 }
@@ -195,6 +221,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(BackendShared {
             random: SmallRng::seed_from_u64(settings.seed).into(),
+            statement: Mutex::default(),
             connections: Mutex::default(),
             settings,
             log,
@@ -223,6 +250,11 @@
         *lock(&self.shared.settings.plan) = plan;
     }
 
+    /// Sets what the server states in its next answers.
+    pub fn set_statement(&self, statement: BackendStatement) {
+        *lock(&self.shared.statement) = statement;
+    }
+
     /// Ends the server like a crash: all its connections are closed at once.
     pub fn close(self) {
         self.accepting.abort();
@@ -288,8 +320,9 @@
         let answer = |status: &str, headers: &str| {
             let body = format!("body of {id}");
             let length = body.len();
+            let statement = lock(&self.statement).headers(status);
             format!(
-                "HTTP/1.1 {status}\r\nx-request-id: {id}\r\n{headers}\
+                "HTTP/1.1 {status}\r\nx-request-id: {id}\r\n{headers}{statement}\
                  content-length: {length}\r\n\r\n{body}"
             )
         };
--- /dev/null
+++ b/crates/standins/tests/server_statements.rs
@@ -0,0 +1,119 @@
+//! What backend servers state about themselves in their answers, in a fleet of
+//! entry hosts that run as processes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use {
+    standins::{
+        BackendStatement, CallerConnection, RequestSpec,
+        entry_fleet::{EntryConfiguration, EntryFleet, EntryFleetSettings, EntryWorkspace},
+    },
+    tokio::time::{Instant, sleep},
+};
+
+/// Time after which a statement binds the hosts that were told.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Window over which the requests to a server with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval between two requests of [`send_requests`].
+const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
+
+async fn open_fleet() -> EntryFleet {
+    let configuration = EntryConfiguration {
+        workspaces: vec![EntryWorkspace {
+            name: "north".to_owned(),
+            keys: vec!["north-key".to_owned()],
+            rate_per_s: 10_000.0,
+            burst: 10_000.0,
+        }],
+        ..Default::default()
+    };
+    let settings = EntryFleetSettings {
+        configuration,
+        ..Default::default()
+    };
+    EntryFleet::open(settings).await.expect("the fleet starts")
+}
+
+/// Sends idempotent requests to all hosts in turn for `span`, and returns the
+/// number that were answered with success.
+async fn send_requests(fleet: &EntryFleet, label: &str, span: Duration) -> usize {
+    let fronts: Vec<SocketAddr> = fleet.hosts.iter().map(|h| h.addresses().front).collect();
+    let end = Instant::now() + span;
+    let mut sent = Vec::new();
+    while Instant::now() < end {
+        let front = fronts[sent.len() % fronts.len()];
+        let id = format!("{label}-{}", sent.len());
+        sent.push(tokio::spawn(async move { status(front, &id).await }));
+        sleep(REQUEST_INTERVAL).await;
+    }
+    let mut served = 0;
+    for request in sent {
+        let status = request.await.expect("the request ends");
+        served += usize::from(status == Some(200));
+    }
+    served
+}
+
+async fn status(front: SocketAddr, id: &str) -> Option<u16> {
+    let request = RequestSpec {
+        path: "/look-ledger/1",
+        id,
+        key: "north-key",
+        ..Default::default()
+    };
+    let mut caller = CallerConnection::open(front, REQUEST_TIMEOUT).await.ok()?;
+    let answer = caller.request(request, REQUEST_TIMEOUT).await.ok()?;
+    Some(answer.status)
+}
+
+/// Times at which requests for a server reached it, in order.
+fn arrivals_at(fleet: &EntryFleet, server: &str) -> Vec<Instant> {
+    let arrivals = fleet.log.arrivals();
+    let own = arrivals
+        .iter()
+        .filter(|arrival| arrival.server == server && !arrival.is_misdirected);
+    own.map(|arrival| arrival.at).collect()
+}
+
+/// Largest number of requests in a window that begins at `from` or later.
+fn fullest_window(arrivals: &[Instant], from: Instant) -> usize {
+    let starts = arrivals.iter().enumerate().filter(|(_, at)| **at >= from);
+    let counts = starts.map(|(index, start)| {
+        let within = arrivals[index..].iter();
+        within.take_while(|at| **at - *start < LIMIT_WINDOW).count()
+    });
+    counts.max().unwrap_or_default()
+}
+
+/// Hosts sent a server its full share of the load although it stated that it
+/// takes one request a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_gets_no_more_than_the_limit_that_it_states() {
+    const LIMIT_PER_S: f64 = 1.0;
+    let fleet = open_fleet().await;
+    let statement = BackendStatement {
+        rate_limit: Some(LIMIT_PER_S.to_string()),
+        ..Default::default()
+    };
+    fleet.set_statement(0, statement);
+    let sent = Instant::now();
+    let served = send_requests(&fleet, "limited", Duration::from_secs(10)).await;
+    let arrivals = arrivals_at(&fleet, &fleet.servers[0].id);
+    let told = arrivals.iter().find(|at| **at >= sent);
+    let told = *told.expect("the server states its limit");
+    let fullest = fullest_window(&arrivals, told + CONTACT_TIME);
+    let allowed = (LIMIT_PER_S * LIMIT_WINDOW.as_secs_f64() * 1.5 + 5.0).floor();
+    assert!(
+        fullest as f64 <= allowed,
+        "{fullest} requests in {LIMIT_WINDOW:?}, {allowed} allowed"
+    );
+    let late = arrivals.iter().filter(|at| **at >= told + CONTACT_TIME);
+    assert!(late.count() >= 3, "the server is used within its limit");
+    assert!(served > 500, "the other servers serve: {served}");
+    fleet.close();
+}
