Send nothing new to servers that state that they leave

What servers saw: an instance that stated in its answers that it leaves kept getting its share of the requests for as long as its entry said that it was ready (DRAIN). Cause: the header was not read.

The statement is decoded, passed on and kept like a rate limit, but sticks to the server's process: neither later answers nor the entry bring it back, and it outlives the entry by ten minutes.

--- a/crates/mangostep-entry/src/forward/sender.rs
+++ b/crates/mangostep-entry/src/forward/sender.rs
@@ -133,6 +133,10 @@
                 trace.detail = ChoiceRefusal::RateLimited.as_str();
                 return self.give_up(last, RETRY_AFTER);
             }
+            if !self.context.pool.borrow().accepts_work(key) {
+                // The server began to leave while a token was requested.
+                continue;
+            }
             if self.reached > 0 && !self.take_retry() {
                 trace.detail = "retry budget";
                 return self.give_up(last, RETRY_AFTER);
--- a/crates/mangostep-entry/src/statements.rs
+++ b/crates/mangostep-entry/src/statements.rs
@@ -63,6 +63,6 @@
 ) {
     context.counters.count("statement-changed", &[]);
     info!(context.log, "server statement"; "server" => server,
-        "rate_limit_per_s" => statement.rate_limit_per_s,
+        "rate_limit_per_s" => statement.rate_limit_per_s, "leaving" => statement.is_leaving,
         "seen_by" => seen_by.to_string());
 }
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -207,6 +207,10 @@
     by_id: HashMap<String, ServerKey>,
     by_service: HashMap<String, Vec<ServerKey>>,
     zones_out: HashSet<String>,
+    /// Servers that stated that they leave, by id, with the start time of the
+    /// process and the time of the statement. Their entries may lapse and
+    /// return, or be read after the statement was heard.
+    leaving: HashMap<String, (u64, MonotonicTime)>,
     durations: HashMap<String, Duration>,
     /// When retryable requests last arrived, by service.
     retryable: HashMap<String, RetryableTimes>,
@@ -236,6 +240,10 @@
 /// hosts together.
 const ASSUMED_HOSTS: usize = 1_000;
 
+/// Time for which a statement that a server leaves is remembered; longer than
+/// any planned shutdown.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
 /// Weight of a new sample in the moving average of request durations.
 const DURATION_SAMPLE_WEIGHT: f64 = 0.05;
 
@@ -306,7 +314,7 @@
             shedding_until: MonotonicTime::ZERO,
             cold_starts: VecDeque::new(),
             held_until: None,
-            statements: StatementRecord::default(),
+            statements: self.known_statements(entry, now),
         });
         self.by_id.insert(entry.id.clone(), key);
         let service = self.by_service.entry(entry.service.clone()).or_default();
@@ -314,6 +322,16 @@
         key
     }
 
+    /// What is known of a new server's statements.
+    fn known_statements(&self, entry: &ServerEntry, now: MonotonicTime) -> StatementRecord {
+        match self.leaving.get(&entry.id) {
+            Some((started_ms, stated)) if *started_ms == entry.started_ms => {
+                StatementRecord::leaving(*stated, now)
+            }
+            _ => StatementRecord::default(),
+        }
+    }
+
     /// Removes a server and returns whether it was in the pool.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(key) = self.by_id.remove(id) else {
@@ -376,11 +394,13 @@
         self.servers.get(key).map(|record| &record.entry)
     }
 
-    /// Whether a server may get requests: it is not draining and its zone is
-    /// in service.
+    /// Whether a server may get requests: it is not draining, did not state
+    /// that it leaves, and its zone is in service.
     pub fn accepts_work(&self, key: ServerKey) -> bool {
         self.servers.get(key).is_some_and(|record| {
-            !record.entry.is_draining && !self.zones_out.contains(&record.entry.zone)
+            !record.entry.is_draining
+                && !record.statements.is_leaving()
+                && !self.zones_out.contains(&record.entry.zone)
         })
     }
 
@@ -548,18 +568,42 @@
         statement: ServerStatement,
         now: MonotonicTime,
     ) -> bool {
-        let record = self.servers.get_mut(key);
-        record.is_some_and(|record| record.statements.record(statement, now, true, now))
+        let Some(record) = self.servers.get_mut(key) else {
+            return false;
+        };
+        let has_changed = record.statements.record(statement, now, true, now);
+        let (id, started_ms) = (record.entry.id.clone(), record.entry.started_ms);
+        if statement.is_leaving && has_changed {
+            self.record_leaving(id, started_ms, now, now);
+        }
+        has_changed
+    }
+
+    /// Records that a server leaves, and forgets those that stated so long ago
+    /// that their processes have ended.
+    fn record_leaving(
+        &mut self,
+        id: String,
+        started_ms: u64,
+        stated: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        self.leaving
+            .retain(|_, (_, stated)| now.since(*stated) < LEAVING_MEMORY);
+        self.leaving.insert(id, (started_ms, stated));
     }
 
     /// Records what a server stated in a response to a peer. Returns whether
     /// that is newer than its latest statement and differs from it.
     pub fn record_peer_statement(&mut self, report: &StatementReport, now: MonotonicTime) -> bool {
+        let stated = now - Duration::from_millis(report.age_ms.into());
+        if report.statement.is_leaving && !self.leaving.contains_key(&report.server) {
+            self.record_leaving(report.server.clone(), report.started_ms, stated, now);
+        }
         let key = self.by_id.get(&report.server).copied();
         let Some(record) = key.and_then(|key| self.servers.get_mut(key)) else {
             return false;
         };
-        let stated = now - Duration::from_millis(report.age_ms.into());
         record.entry.started_ms == report.started_ms
             && record
                 .statements
--- a/crates/mangostep-policy/src/dispatch/server_statement.rs
+++ b/crates/mangostep-policy/src/dispatch/server_statement.rs
@@ -10,6 +10,8 @@
     /// Requests per second that the server takes from all hosts together;
     /// `None` if it states no limit.
     pub rate_limit_per_s: Option<f64>,
+    /// Whether the server is leaving and takes no new requests.
+    pub is_leaving: bool,
 }
 
 /// The statement of a backend server as hosts report it to each other.
@@ -62,8 +64,20 @@
 }
 
 impl StatementRecord {
+    /// The record of a server that stated at `stated` that it leaves.
+    pub(super) fn leaving(stated: MonotonicTime, now: MonotonicTime) -> Self {
+        let mut record = StatementRecord::default();
+        let statement = ServerStatement {
+            is_leaving: true,
+            ..Default::default()
+        };
+        record.record(statement, stated, false, now);
+        record
+    }
+
     /// Records a statement that was made at `stated`. Returns whether the
-    /// latest statement changed; an older one than that is ignored.
+    /// latest statement changed. An older one than that is ignored, but a
+    /// server that leaves does so until its process ends.
     pub(super) fn record(
         &mut self,
         statement: ServerStatement,
@@ -72,21 +86,35 @@
         now: MonotonicTime,
     ) -> bool {
         let is_first = self.stated.is_none();
-        if is_first && statement == ServerStatement::default()
-            || self.stated.is_some_and(|latest| latest > stated)
-        {
+        if is_first && statement == ServerStatement::default() {
             return false;
         }
-        self.stated = Some(stated);
-        self.is_own = is_own;
-        let has_changed = statement != self.latest;
+        let is_latest = self.stated.is_none_or(|latest| latest <= stated);
+        let rate_limit_per_s = match is_latest {
+            true => statement.rate_limit_per_s,
+            false => self.latest.rate_limit_per_s,
+        };
+        if is_latest {
+            self.stated = Some(stated);
+            self.is_own = is_own;
+        }
+        let latest = ServerStatement {
+            rate_limit_per_s,
+            is_leaving: self.latest.is_leaving || statement.is_leaving,
+        };
+        let has_changed = latest != self.latest;
         if has_changed {
-            self.latest = statement;
+            self.latest = latest;
             self.changed = now;
         }
         has_changed
     }
 
+    /// Whether the server stated that it leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.latest.is_leaving
+    }
+
     /// Rate limit of the server over all hosts.
     pub(super) fn rate_limit(&self) -> Option<StatedLimit> {
         let rate_per_s = self.latest.rate_limit_per_s?.max(RATE_LIMIT_MIN_PER_S);
--- a/crates/mangostep-policy/tests/dispatch/limited_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/limited_servers.rs
@@ -151,6 +151,7 @@
         pool.finish(key);
         let statement = ServerStatement {
             rate_limit_per_s: self.limits.get(&entry.id).copied(),
+            ..Default::default()
         };
         if pool.record_own_statement(key, statement, now) {
             let report = StatementReport {
@@ -281,6 +282,7 @@
     let key = pool.put(&server(0), Duration::ZERO, at_ms(0));
     let statement = ServerStatement {
         rate_limit_per_s: Some(1.0),
+        ..Default::default()
     };
     assert!(pool.record_own_statement(key, statement, at_ms(1)));
     let restarted = mangostep_policy::ServerEntry {
@@ -306,6 +308,7 @@
     let key = pool.put(&server(0), Duration::ZERO, at_ms(0));
     let statement = |limit| ServerStatement {
         rate_limit_per_s: limit,
+        ..Default::default()
     };
     pool.record_own_statement(key, statement(Some(1.0)), at_ms(1_000));
     pool.record_own_statement(key, statement(None), at_ms(2_000));
--- a/crates/mangostep-policy/tests/dispatch/main.rs
+++ b/crates/mangostep-policy/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod failing_servers;
 mod host_table;
 mod hot_workspace;
+mod leaving_servers;
 mod limited_servers;
 mod read_timer;
 mod retry_budget;
--- a/crates/standins/tests/server_statements.rs
+++ b/crates/standins/tests/server_statements.rs
@@ -7,6 +7,7 @@
     standins::{
         BackendStatement, CallerConnection, RequestSpec,
         entry_fleet::{EntryConfiguration, EntryFleet, EntryFleetSettings, EntryWorkspace},
+        fleet::ProcessSignal,
     },
     tokio::time::{Instant, sleep},
 };
@@ -14,6 +15,10 @@
 /// Time after which a statement binds the hosts that were told.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// Longest time for which a server that leaves gets requests, by the operators'
+/// agreement.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
 /// Window over which the requests to a server with a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
@@ -117,3 +122,92 @@
     assert!(served > 500, "the other servers serve: {served}");
     fleet.close();
 }
+
+/// A server that stated that it leaves kept getting requests from all hosts,
+/// since its entry in the store still said that it was ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_states_that_it_leaves_gets_no_new_requests() {
+    let fleet = open_fleet().await;
+    send_requests(&fleet, "before", Duration::from_secs(1)).await;
+    let statement = BackendStatement {
+        is_leaving: true,
+        ..Default::default()
+    };
+    fleet.set_statement(0, statement);
+    let stated = Instant::now();
+    let served = send_requests(&fleet, "after", Duration::from_secs(6)).await;
+    let arrivals = arrivals_at(&fleet, &fleet.servers[0].id);
+    let late = arrivals.iter().filter(|at| **at >= stated + DRAIN_LIMIT);
+    assert_eq!(late.count(), 0, "requests later than {DRAIN_LIMIT:?}");
+    assert!(served > 300, "the other servers serve: {served}");
+    fleet.close();
+}
+
+/// A host that restarts learns from its peers which servers leave: the store
+/// still lists them as ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_hosts_send_nothing_to_servers_that_leave() {
+    let mut fleet = open_fleet().await;
+    let statement = BackendStatement {
+        is_leaving: true,
+        ..Default::default()
+    };
+    fleet.set_statement(0, statement);
+    send_requests(&fleet, "before", Duration::from_secs(3)).await;
+    for index in [0, 3] {
+        fleet.hosts[index].signal(ProcessSignal::Kill);
+        fleet.hosts[index].start().await.expect("the host starts");
+    }
+    fleet.wait_ready().await.expect("the hosts become ready");
+    sleep(DRAIN_LIMIT).await;
+    let restarted = Instant::now();
+    send_requests(&fleet, "after", Duration::from_secs(3)).await;
+    let arrivals = arrivals_at(&fleet, &fleet.servers[0].id);
+    let late = arrivals.iter().filter(|at| **at >= restarted);
+    assert_eq!(late.count(), 0, "requests from restarted hosts");
+    fleet.close();
+}
+
+/// The statement binds to the server, not to its address, at which the next one
+/// takes requests at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn next_server_at_the_address_of_one_that_left_gets_requests() {
+    let mut fleet = open_fleet().await;
+    let statement = BackendStatement {
+        is_leaving: true,
+        ..Default::default()
+    };
+    fleet.set_statement(0, statement);
+    send_requests(&fleet, "before", Duration::from_secs(2)).await;
+    fleet.stop_server(0);
+    let left = fleet.servers[0].id.clone();
+    fleet.remove_entry(&left);
+    fleet.start_server(0).await.expect("the server starts");
+    sleep(DRAIN_LIMIT).await;
+    send_requests(&fleet, "after", Duration::from_secs(2)).await;
+    let arrivals = arrivals_at(&fleet, &fleet.servers[0].id);
+    assert!(arrivals.len() > 5, "{} requests", arrivals.len());
+    fleet.close();
+}
+
+/// All servers of a service leave: what cannot be served is refused at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_when_all_servers_leave() {
+    let fleet = open_fleet().await;
+    for index in 0..fleet.servers.len() {
+        let statement = BackendStatement {
+            is_leaving: true,
+            ..Default::default()
+        };
+        fleet.set_statement(index, statement);
+    }
+    send_requests(&fleet, "before", Duration::from_secs(3)).await;
+    for host in &fleet.hosts {
+        let started = Instant::now();
+        let status = status(host.addresses().front, "refused").await;
+        assert_eq!(status, Some(503));
+        let elapsed = started.elapsed();
+        assert!(elapsed < Duration::from_millis(300), "{elapsed:?}");
+    }
+    fleet.close();
+}
