Obey the wait that a backend server states when it sheds

Cause: the header was not read; a host avoided such a server for 300 ms, and only where others were as good.

A host now sends nothing to the server until the stated time and a random part of it have passed, then one request, and others once that succeeds. If all servers of a service state waits, a request is refused at once with a Retry-After made from them. It counts as shedding, not as a failure.

--- a/crates/mangostep-entry/src/forward/sender.rs
+++ b/crates/mangostep-entry/src/forward/sender.rs
@@ -291,16 +291,20 @@
         let started = Instant::now();
         let sent = attempt(self.context, request);
         let outcome = self.wait_for_outcome(sent, &in_flight).await;
-        if let AttemptOutcome::Answered(answer) = &outcome
-            && answer.head.status != StatusCode::MISDIRECTED_REQUEST
-        {
+        let states_wait = match &outcome {
             // Another server at the address answers a misdirected request.
-            let mangostep_http::ResponseHead {
-                status, headers, ..
-            } = &answer.head;
-            record_own_statement(self.context, key, entry, *status, headers);
-        }
-        let (signal, outcome) = self.classify(outcome);
+            AttemptOutcome::Answered(answer)
+                if answer.head.status != StatusCode::MISDIRECTED_REQUEST =>
+            {
+                record_own_statement(self.context, key, entry, &answer.head)
+            }
+            _ => false,
+        };
+        let (signal, outcome) = match self.classify(outcome) {
+            // A server that states a wait is busy and does not fail.
+            (ServerSignal::Error, outcome) if states_wait => (ServerSignal::Shed, outcome),
+            classified => classified,
+        };
         if signal == ServerSignal::Success {
             let mut pool = self.context.pool.borrow_mut();
             pool.record_duration(&planned.service.name, started.elapsed());
--- a/crates/mangostep-entry/src/platform.rs
+++ b/crates/mangostep-entry/src/platform.rs
@@ -82,6 +82,9 @@
 pub struct DecodedStatement {
     /// The statement, without what could not be decoded.
     pub statement: ServerStatement,
+    /// How long the server wants nothing from this host, if it shed the
+    /// request.
+    pub wait: Option<Duration>,
     /// Headers that could not be decoded.
     pub faults: Vec<StatementFault>,
 }
--- a/crates/mangostep-entry/src/statements.rs
+++ b/crates/mangostep-entry/src/statements.rs
@@ -1,8 +1,9 @@
 use std::fmt::Display;
 
 use {
-    http::{HeaderMap, StatusCode},
+    mangostep_http::ResponseHead,
     mangostep_policy::{ServerEntry, ServerKey, ServerStatement, StatementReport},
+    rand::RngExt,
     slog::{info, warn},
 };
 
@@ -12,15 +13,20 @@
 const FAULT_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Records what a server stated about itself in a response to this host, and
-/// notifies the peers of a change.
+/// notifies the peers of a change. Returns whether the server stated a wait,
+/// which binds this host only; the peers learn that the server sheds.
 pub(crate) fn record_own_statement(
     context: &HostContext,
     key: ServerKey,
     server: &ServerEntry,
-    status: StatusCode,
-    headers: &HeaderMap,
-) {
-    let DecodedStatement { statement, faults } = (context.decode_statement)(status, headers);
+    head: &ResponseHead,
+) -> bool {
+    let decoded = (context.decode_statement)(head.status, &head.headers);
+    let DecodedStatement {
+        statement,
+        wait,
+        faults,
+    } = decoded;
     let now = clock::now();
     for fault in &faults {
         context
@@ -35,11 +41,19 @@
         }
     }
     let mut pool = context.pool.borrow_mut();
+    if let Some(wait) = wait {
+        let spread = context.random.borrow_mut().random_range(0.0..1.0);
+        pool.record_wait(key, wait, spread, now);
+        context.counters.count("server-wait", &[]);
+        info!(context.log, "server wait"; "server" => &server.id,
+            "wait_ms" => wait.as_millis() as u64);
+    }
     if pool.record_own_statement(key, statement, now) {
         drop(pool);
         log_change(context, &server.id, statement, &context.settings.host);
         peers::send_statement(context, server, statement);
     }
+    wait.is_some()
 }
 
 /// Records what a server stated to a peer.
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod pool_settings;
 mod read_timer;
 mod retry_allowance;
+mod server_backoff;
 mod server_entry;
 mod server_pool;
 mod server_statement;
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -14,7 +14,7 @@
     MonotonicTime,
     dispatch::{
         PoolSettings, ServerEntry, ServerEvidence, ServerStatement, SlidingCounter, StatedLimit,
-        StatementReport, server_statement::StatementRecord,
+        StatementReport, server_backoff::ServerBackoff, server_statement::StatementRecord,
     },
 };
 
@@ -75,6 +75,9 @@
     /// All servers that could take the request are at the rate limit that they
     /// state.
     RateLimited,
+    /// All servers that could take the request stated a wait that has not
+    /// ended.
+    BackingOff,
 }
 
 impl ChoiceRefusal {
@@ -85,6 +88,7 @@
             ChoiceRefusal::NoCapacity => "no-room",
             ChoiceRefusal::AllCold => "all-cold",
             ChoiceRefusal::RateLimited => "rate-limited",
+            ChoiceRefusal::BackingOff => "backing-off",
         }
     }
 }
@@ -184,6 +188,7 @@
     /// When the server is removed after its entry lapsed.
     held_until: Option<MonotonicTime>,
     statements: StatementRecord,
+    backoff: ServerBackoff,
 }
 
 impl ServerRecord {
@@ -315,6 +320,7 @@
             cold_starts: VecDeque::new(),
             held_until: None,
             statements: self.known_statements(entry, now),
+            backoff: ServerBackoff::default(),
         });
         self.by_id.insert(entry.id.clone(), key);
         let service = self.by_service.entry(entry.service.clone()).or_default();
@@ -499,6 +505,11 @@
         now: MonotonicTime,
     ) -> Option<SuspicionChange> {
         let before = self.failure_chance(key, now);
+        if let Some(record) = self.servers.get_mut(key)
+            && signal == ServerSignal::Success
+        {
+            record.backoff.record_success(now);
+        }
         if let Some(record) = self.servers.get_mut(key)
             && !matches!(signal, ServerSignal::Error | ServerSignal::Misdirected)
         {
@@ -593,6 +604,15 @@
         self.leaving.insert(id, (started_ms, stated));
     }
 
+    /// Records that a server shed a request of this host and stated for how
+    /// long it wants none. `spread` is random, from 0 to 1, and differs between
+    /// hosts.
+    pub fn record_wait(&mut self, key: ServerKey, wait: Duration, spread: f64, now: MonotonicTime) {
+        if let Some(record) = self.servers.get_mut(key) {
+            record.backoff.record(wait, spread, now);
+        }
+    }
+
     /// Records what a server stated in a response to a peer. Returns whether
     /// that is newer than its latest statement and differs from it.
     pub fn record_peer_statement(&mut self, report: &StatementReport, now: MonotonicTime) -> bool {
@@ -749,12 +769,11 @@
                 continue;
             }
             let record = &self.servers[key];
-            let denied_for = record.statements.denied_for(now);
-            if !denied_for.is_zero() {
+            if let Some((reason, wait)) = self.held_back(record, request, now) {
                 if matches!(refusal, ChoiceRefusal::NoServer | ChoiceRefusal::AllCold) {
-                    refusal = ChoiceRefusal::RateLimited;
+                    refusal = reason;
                 }
-                shortest_wait = shortest_wait.min(denied_for);
+                shortest_wait = shortest_wait.min(wait);
                 continue;
             }
             if record.cold_until > now {
@@ -810,6 +829,26 @@
         }
     }
 
+    /// Why and for how long this host must not send a request to a server,
+    /// because of what the server stated; `None` if it may.
+    fn held_back(
+        &self,
+        record: &ServerRecord,
+        request: ChoiceRequest<'_>,
+        now: MonotonicTime,
+    ) -> Option<(ChoiceRefusal, Duration)> {
+        let wait = record.backoff.left(now);
+        if !wait.is_zero() {
+            return Some((ChoiceRefusal::BackingOff, wait));
+        }
+        if !record.backoff.admits_beside(record.own_in_flight) {
+            let duration = self.mean_duration(request.service);
+            return Some((ChoiceRefusal::BackingOff, duration));
+        }
+        let denied = record.statements.denied_for(now);
+        (!denied.is_zero()).then_some((ChoiceRefusal::RateLimited, denied))
+    }
+
     fn failure_chance_of(&self, record: &ServerRecord, now: MonotonicTime) -> f64 {
         let shared = record.evidence.failure_chance(&self.settings.evidence, now);
         let own = record.own_path.belief(&self.settings.own_path, now);
--- a/crates/mangostep-policy/tests/dispatch/main.rs
+++ b/crates/mangostep-policy/tests/dispatch/main.rs
@@ -12,6 +12,7 @@
 mod retry_budget;
 mod table_copy;
 mod traffic_splitter;
+mod waiting_servers;
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/crates/standins/tests/server_statements.rs
+++ b/crates/standins/tests/server_statements.rs
@@ -5,7 +5,7 @@
 
 use {
     standins::{
-        BackendStatement, CallerConnection, RequestSpec,
+        AnswerMode, AnswerPlan, BackendStatement, CallerConnection, RequestSpec,
         entry_fleet::{EntryConfiguration, EntryFleet, EntryFleetSettings, EntryWorkspace},
         fleet::ProcessSignal,
     },
@@ -28,6 +28,10 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 
 async fn open_fleet() -> EntryFleet {
+    open_fleet_with(EntryFleetSettings::default()).await
+}
+
+async fn open_fleet_with(settings: EntryFleetSettings) -> EntryFleet {
     let configuration = EntryConfiguration {
         workspaces: vec![EntryWorkspace {
             name: "north".to_owned(),
@@ -39,7 +43,7 @@
     };
     let settings = EntryFleetSettings {
         configuration,
-        ..Default::default()
+        ..settings
     };
     EntryFleet::open(settings).await.expect("the fleet starts")
 }
@@ -211,3 +215,76 @@
     }
     fleet.close();
 }
+
+/// A host went on sending requests to a server that had turned one away and
+/// stated for how long it wants none.
+#[tokio::test(flavor = "multi_thread")]
+async fn host_sends_nothing_to_a_server_before_the_stated_wait_ends() {
+    const WAIT_S: u64 = 2;
+    let settings = EntryFleetSettings {
+        zones: vec!["a".to_owned()],
+        hosts_per_zone: 1,
+        ..Default::default()
+    };
+    let fleet = open_fleet_with(settings).await;
+    send_requests(&fleet, "before", Duration::from_secs(1)).await;
+    let statement = BackendStatement {
+        retry_after: Some(WAIT_S.to_string()),
+        ..Default::default()
+    };
+    fleet.set_statement(0, statement);
+    let plan = AnswerPlan {
+        mode: AnswerMode::Sheds,
+        ..Default::default()
+    };
+    fleet.set_plan(0, plan);
+    let busy = Instant::now();
+    let served = send_requests(&fleet, "busy", Duration::from_secs(4)).await;
+    let arrivals = arrivals_at(&fleet, &fleet.servers[0].id);
+    let first = *arrivals.iter().find(|at| **at >= busy).expect("it is used");
+    let wait = first + Duration::from_millis(500)..first + Duration::from_secs(WAIT_S);
+    let within = arrivals.iter().filter(|at| wait.contains(at)).count();
+    // The operators accept two that crossed the answer.
+    assert!(within <= 2, "{within} requests during the stated wait");
+    let later = arrivals.iter().filter(|at| **at >= wait.end).count();
+    assert!((1..=6).contains(&later), "{later} requests after the wait");
+    assert!(served > 200, "the other server serves: {served}");
+    fleet.close();
+}
+
+/// All servers want nothing for longer than the caller waits: the request is
+/// refused at once, with a time after which a server takes requests again.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_while_all_servers_state_a_wait() {
+    let settings = EntryFleetSettings {
+        zones: vec!["a".to_owned()],
+        hosts_per_zone: 1,
+        ..Default::default()
+    };
+    let fleet = open_fleet_with(settings).await;
+    for index in 0..fleet.servers.len() {
+        let statement = BackendStatement {
+            retry_after: Some("3.5".to_owned()),
+            ..Default::default()
+        };
+        fleet.set_statement(index, statement);
+        let plan = AnswerPlan {
+            mode: AnswerMode::Sheds,
+            ..Default::default()
+        };
+        fleet.set_plan(index, plan);
+    }
+    send_requests(&fleet, "busy", Duration::from_millis(500)).await;
+    let reached = fleet.log.arrivals().len();
+    let started = Instant::now();
+    for number in 0..20 {
+        let id = format!("refused-{number}");
+        assert_eq!(
+            status(fleet.hosts[0].addresses().front, &id).await,
+            Some(503)
+        );
+    }
+    assert!(started.elapsed() < Duration::from_secs(1));
+    assert_eq!(fleet.log.arrivals().len(), reached, "no server is asked");
+    fleet.close();
+}
