--- a/crates/mangostep-entry/src/peers/reporting.rs
+++ b/crates/mangostep-entry/src/peers/reporting.rs
@@ -86,6 +86,7 @@
         context.peers.send(&bytes, peer);
     }
     record_table_ages(context, now);
+    record_stated_servers(context, now);
     let unsent = context.peers.unsent.take();
     if unsent > 0 {
         info!(context.log, "datagrams not sent"; "count" => unsent);
@@ -131,6 +132,14 @@
     lists
 }
 
+fn record_stated_servers(context: &HostContext, now: MonotonicTime) {
+    let counts = context.pool.borrow().statement_counts(now);
+    let counters = &context.counters;
+    counters.record_stated_servers("limited", counts.limited);
+    counters.record_stated_servers("leaving", counts.leaving);
+    counters.record_stated_servers("waiting", counts.waiting);
+}
+
 /// Records the age of each copy, and logs when one becomes outdated and when it
 /// is current again.
 fn record_table_ages(context: &HostContext, now: MonotonicTime) {
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -34,7 +34,7 @@
         ChoiceRefusal, ChoiceRequest, PeerKey, ServerChoice, ServerKey, ServerPool, ServerSignal,
         SignalScope, SuspicionChange,
     },
-    server_statement::{ServerStatement, StatedLimit, StatementReport},
+    server_statement::{ServerStatement, StatedLimit, StatementCounts, StatementReport},
     sliding_counter::SlidingCounter,
     table_copy::{TableCopy, TableDelta, TableRow},
     token_ledger::{LedgerRequest, LedgerSettings, TokenLedger, TokenVerdict},
--- a/crates/mangostep-policy/src/dispatch/server_pool.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool.rs
@@ -14,7 +14,8 @@
     MonotonicTime,
     dispatch::{
         PoolSettings, ServerEntry, ServerEvidence, ServerStatement, SlidingCounter, StatedLimit,
-        StatementReport, server_backoff::ServerBackoff, server_statement::StatementRecord,
+        StatementCounts, StatementReport, server_backoff::ServerBackoff,
+        server_statement::StatementRecord,
     },
 };
 
@@ -650,6 +651,17 @@
         })
     }
 
+    /// Number of servers by what they state about themselves.
+    pub fn statement_counts(&self, now: MonotonicTime) -> StatementCounts {
+        let mut counts = StatementCounts::default();
+        for record in self.servers.values() {
+            counts.limited += u64::from(record.statements.rate_limit().is_some());
+            counts.leaving += u64::from(record.statements.is_leaving());
+            counts.waiting += u64::from(!record.backoff.left(now).is_zero());
+        }
+        counts
+    }
+
     /// The rate limit that a server states. Each request to the server takes a
     /// token from a bucket that all hosts share.
     pub fn rate_limit(&self, key: ServerKey) -> Option<StatedLimit> {
--- a/crates/mangostep-policy/src/dispatch/server_statement.rs
+++ b/crates/mangostep-policy/src/dispatch/server_statement.rs
@@ -28,6 +28,17 @@
     pub age_ms: u32,
 }
 
+/// Number of backend servers by what they state about themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatementCounts {
+    /// Servers that state a rate limit.
+    pub limited: u64,
+    /// Servers that state that they leave.
+    pub leaving: u64,
+    /// Servers that stated a wait to this host that has not ended.
+    pub waiting: u64,
+}
+
 /// The rate limit of a backend server over all hosts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StatedLimit {
--- a/crates/mangostep-policy/src/lib.rs
+++ b/crates/mangostep-policy/src/lib.rs
@@ -58,9 +58,9 @@
         HostTable, HostTableSettings, LapseRule, LapseSettings, LedgerRequest, LedgerSettings,
         OutcomeChances, PeerKey, PeerReport, PoolSettings, ReadState, ReadTimer, ReceivedReport,
         RetryAllowance, ServerChoice, ServerEntry, ServerEvidence, ServerKey, ServerPool,
-        ServerSignal, ServerStatement, SignalScope, SlidingCounter, StatedLimit, StatementReport,
-        SuspicionChange, TableCopy, TableDelta, TableRow, TokenLedger, TokenVerdict,
-        TrafficSplitter, ZoneList,
+        ServerSignal, ServerStatement, SignalScope, SlidingCounter, StatedLimit, StatementCounts,
+        StatementReport, SuspicionChange, TableCopy, TableDelta, TableRow, TokenLedger,
+        TokenVerdict, TrafficSplitter, ZoneList,
     },
     lease::{
         Confirmation, HOMES_PER_SHARD, HolderPlanner, HostLease, LeaseRecord, LeaseRules,
--- a/crates/mangostep-policy/tests/dispatch/waiting_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/waiting_servers.rs
@@ -56,12 +56,15 @@
     let key = pool.find("s0").expect("known");
     let other = pool.find("s1").expect("known");
     let before = pool.failure_chance(key, at_ms(100));
+    assert_eq!(pool.statement_counts(at_ms(90)).waiting, 0);
     shed(&mut pool, key, Duration::from_secs(2), 0.0, at_ms(100));
     for now_ms in 100..2_100 {
         let choice = choose(&pool, now_ms, at_ms(now_ms));
         assert_eq!(choice, ServerChoice::Send(other), "at {now_ms} ms");
     }
     assert!(pool.failure_chance(key, at_ms(100)) <= before);
+    assert_eq!(pool.statement_counts(at_ms(110)).waiting, 1);
+    assert_eq!(pool.statement_counts(at_ms(2_200)).waiting, 0);
 }
 
 /// A wait binds the host that was told; its peers only learn that the server
--- a/crates/mangostep-telemetry/src/counters.rs
+++ b/crates/mangostep-telemetry/src/counters.rs
@@ -3,7 +3,7 @@
 use {
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram, Meter, MeterProvider},
+        metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
     },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Registry, TextEncoder},
@@ -47,6 +47,8 @@
     table_age: Histogram<f64>,
     /// Time between successive reports of one peer.
     report_gap: Histogram<f64>,
+    /// Number of backend servers by `state`, which they stated themselves.
+    stated_servers: Gauge<u64>,
     /// Number of other events, by `kind` and further labels.
     events: Counter<u64>,
 }
@@ -75,6 +77,7 @@
             store_call: latency_histogram(&meter, "mangostep_store_call"),
             table_age: latency_histogram(&meter, "mangostep_table_age"),
             report_gap: latency_histogram(&meter, "mangostep_report_gap"),
+            stated_servers: meter.u64_gauge("mangostep_stated_servers").build(),
             events: meter.u64_counter("mangostep_events").build(),
             registry,
             provider,
@@ -139,6 +142,13 @@
         self.report_gap.record(gap.as_secs_f64(), &[]);
     }
 
+    /// Records how many backend servers are in a state that they stated
+    /// themselves, such as `leaving`.
+    pub fn record_stated_servers(&self, state: &'static str, count: u64) {
+        self.stated_servers
+            .record(count, &[KeyValue::new("state", state)]);
+    }
+
     /// Counts one event of a fixed kind, such as `ejection-granted`.
     pub fn count(&self, kind: &'static str, labels: &[CounterLabel<'_>]) {
         self.add(kind, 1, labels);
