Repair copies that lack a change of their version

Its copy of the operators' table was at version 32 and lacked the change of version 30; its peers had it. Cause: a copy counted as current by its version alone, and a host took over contents only from copies of a later version.

A host now compares contents as well: where a peer's version covers the last change here and the digests differ, it reads the whole table from the store. Ages of copies that were never confirmed are no longer reported (a host logged an age of 3,102 s at its start).

Evidence: entry_fleet: host_repairs_copy_that_lacks_a_change_of_its_version fails without must_repair (condition did not hold within 3 s) and passes with it.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -7,8 +7,8 @@
     http::{HeaderMap, StatusCode},
     mangostep_objects::Snapshot,
     mangostep_policy::{
-        HostTable, LapseRule, RetryAllowance, ServerPool, SlidingCounter, TableCopy, TokenLedger,
-        TrafficSplitter,
+        CopyComparison, CopySummary, HostTable, LapseRule, RetryAllowance, ServerPool,
+        SlidingCounter, TableCopy, TokenLedger, TrafficSplitter,
     },
     mangostep_telemetry::HostCounters,
     rand::{SeedableRng, rngs::SmallRng},
@@ -119,15 +119,32 @@
     pub(crate) is_known: bool,
     /// Time at which the copy was last known to be current, either from a read
     /// of the store or from the report of a host with the same contents.
-    pub(crate) confirmed: MonotonicTime,
+    pub(crate) confirmed: Option<MonotonicTime>,
+    /// Version of the copy when its contents last changed.
+    pub(crate) changed_version: u64,
+    /// Since when a peer's copy contradicts this one, if none was read from
+    /// the store since.
+    pub(crate) conflict_since: Option<MonotonicTime>,
+    /// When the whole table was last read from the store.
+    pub(crate) read_whole: Option<MonotonicTime>,
     /// Whether the copy was logged as outdated.
     pub(crate) is_outdated: bool,
 }
 
 impl TableState {
+    /// Compares a peer's copy with this one.
+    pub(crate) fn compare(&self, peer: &TableSummary) -> CopyComparison {
+        let own = CopySummary {
+            version: self.copy.version(),
+            changed: self.changed_version,
+            digest: self.digest,
+        };
+        own.compare(peer.version, peer.digest)
+    }
+
     /// Whether a peer with the given table summary has a newer copy.
     pub(crate) fn is_older_than(&self, summary: &TableSummary) -> bool {
-        summary.digest != self.digest && summary.version > self.copy.version()
+        self.compare(summary) == CopyComparison::PeerIsNewer
     }
 }
 
--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -25,14 +25,21 @@
         let mut tables = context.tables.borrow_mut();
         let state = tables.of_mut(table);
         let is_first_read = !state.is_known;
-        let version = delta.version;
+        let (version, is_whole) = (delta.version, delta.is_whole);
         let total = state.copy.rows().count();
         let changed = state.copy.apply_unless(delta, |known, new| {
             table == FleetTable::Servers && is_heartbeat(platform, known, new)
         });
         state.is_known = true;
         if source == CopySource::Store && version >= state.copy.version() {
-            state.confirmed = clock::now();
+            state.confirmed = Some(clock::now());
+            if is_whole {
+                state.read_whole = Some(clock::now());
+                state.conflict_since = None;
+            }
+        }
+        if !changed.is_empty() {
+            state.changed_version = state.copy.version();
         }
         let sizes = changed
             .iter()
--- a/crates/mangostep-entry/src/follow/store.rs
+++ b/crates/mangostep-entry/src/follow/store.rs
@@ -48,6 +48,15 @@
 /// the whole fleet starts.
 const FIRST_COPY_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Maximum time from a conflict between copies until a host reads the whole
+/// table. The hosts spread their reads over this time; most conflicts end with
+/// the first reads.
+const REPAIR_DELAY_MAX: Duration = Duration::from_millis(800);
+
+/// Minimum interval between two such reads, for conflicts that last because a
+/// peer cannot reach the store.
+const REPAIR_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Interval between checks whether this host is a watcher.
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -70,6 +79,10 @@
         is_complete: false,
         was_watcher: false,
         failures: 0,
+        repair_delay: {
+            let spread = context.random.borrow_mut().random_range(0.0..1.0);
+            REPAIR_DELAY_MAX.mul_f64(spread)
+        },
     };
     follower.read_first().await;
     while context.phase.get() < HostPhase::Closing {
@@ -91,6 +104,8 @@
     was_watcher: bool,
     /// Number of consecutive failed calls.
     failures: u32,
+    /// Time from a conflict with a peer's copy until the table is read.
+    repair_delay: Duration,
 }
 
 impl<P: Platform> TableFollower<'_, P> {
@@ -145,11 +160,23 @@
                 info!(self.context.log, "watching changed"; "is_watcher" => is_watcher);
             }
         }
-        is_watcher || !self.is_complete
+        is_watcher || !self.is_complete || self.must_repair()
+    }
+
+    /// Whether the whole table must be read because a peer's copy contradicts
+    /// this host's. The host may be the one that is wrong.
+    fn must_repair(&self) -> bool {
+        let now = clock::now();
+        let tables = self.context.tables.borrow();
+        let state = tables.of(self.table);
+        let is_due = |since| now.since(since) >= self.repair_delay;
+        let is_recent = |read| now.since(read) < REPAIR_INTERVAL;
+        state.conflict_since.is_some_and(is_due) && !state.read_whole.is_some_and(is_recent)
     }
 
     async fn read(&mut self) {
         let context = self.context;
+        self.is_complete &= !self.must_repair();
         let after = context.tables.borrow().of(self.table).copy.version();
         let started = clock::now();
         let (call, read) = match self.is_complete {
@@ -178,9 +205,10 @@
         }
     }
 
-    /// Waits for changes after a version. Returns `None` if this host became
-    /// the lead watcher meanwhile: its call may be on a silent connection, and
-    /// no other watcher would notice.
+    /// Waits for changes after a version. Returns `None` if the call must be
+    /// given up: this host became the lead watcher, its call may be on a silent
+    /// connection, and no other watcher would notice; or the whole table must
+    /// be read.
     async fn watch(&self, after: u64) -> Option<Result<TableDelta, StoreError>> {
         if self.is_lead() {
             let wait = LEAD_WATCH_TIMEOUT;
@@ -188,15 +216,15 @@
         }
         tokio::select! {
             read = self.platform.watch_table(self.table, after, WATCH_TIMEOUT) => Some(read),
-            () = self.wait_for_lead() => {
+            () = self.wait_for_restart() => {
                 info!(self.context.log, "watch restarted"; "table" => self.table.as_str());
                 None
             }
         }
     }
 
-    async fn wait_for_lead(&self) {
-        while !self.is_lead() {
+    async fn wait_for_restart(&self) {
+        while !self.is_lead() && !self.must_repair() {
             tokio::time::sleep(ROLE_POLL_INTERVAL).await;
         }
     }
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use {
-    mangostep_policy::{LedgerRequest, PeerKey, TokenVerdict},
+    mangostep_policy::{CopyComparison, LedgerRequest, PeerKey, TokenVerdict},
     slog::{info, warn},
 };
 
@@ -115,7 +115,15 @@
         let own = tables.of_mut(summary.table);
         if own.digest == summary.digest {
             let age = Duration::from_millis(summary.age_ms.into());
-            own.confirmed = own.confirmed.max(now - age);
+            own.confirmed = own.confirmed.max(Some(now - age));
+        }
+        let is_conflict = own.is_known && own.compare(&summary) == CopyComparison::Conflict;
+        if is_conflict && summary.table.is_verified_often() && own.conflict_since.is_none() {
+            own.conflict_since = Some(now);
+            context.counters.count("copy-conflict", &[]);
+            warn!(context.log, "copies differ"; "table" => summary.table.as_str(),
+                "peer" => &*report.host, "version" => own.copy.version(),
+                "changed_version" => own.changed_version, "peer_version" => summary.version);
         }
         if let Some((address, link_mbps)) =
             source.filter(|_| own.is_older_than(&summary) || !own.is_known)
--- a/crates/mangostep-entry/src/peers/reporting.rs
+++ b/crates/mangostep-entry/src/peers/reporting.rs
@@ -149,7 +149,10 @@
         if !state.is_known {
             continue;
         }
-        let age = now.since(state.confirmed);
+        let Some(confirmed) = state.confirmed else {
+            continue;
+        };
+        let age = now.since(confirmed);
         context.counters.record_table_age(table.as_str(), age);
         let is_outdated = table.is_verified_often() && age > OUTDATED_AGE;
         if is_outdated == std::mem::replace(&mut state.is_outdated, is_outdated) {
@@ -175,8 +178,9 @@
             version: tables.of(table).copy.version(),
             digest: tables.of(table).digest,
             changed_bytes: tables.of(table).changed_bytes,
-            age_ms: u32::try_from(now.since(tables.of(table).confirmed).as_millis())
-                .unwrap_or(u32::MAX),
+            age_ms: tables.of(table).confirmed.map_or(u32::MAX, |confirmed| {
+                u32::try_from(now.since(confirmed).as_millis()).unwrap_or(u32::MAX)
+            }),
         })
         .collect()
 }
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of a host that sends requests directly to backend servers.
 
 mod copy_source;
+mod copy_summary;
 mod evidence;
 mod host_row;
 mod host_table;
@@ -21,6 +22,7 @@
 
 pub use self::{
     copy_source::CopySource,
+    copy_summary::{CopyComparison, CopySummary},
     evidence::{EvidenceSettings, OutcomeChances, ServerEvidence},
     host_row::HostRow,
     host_table::{HostTable, HostTableSettings},
--- a/crates/mangostep-policy/tests/dispatch/main.rs
+++ b/crates/mangostep-policy/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 
 mod cold_servers;
 mod copy_source;
+mod copy_summary;
 mod failing_servers;
 mod host_table;
 mod hot_workspace;
--- a/crates/standins/src/table_stub.rs
+++ b/crates/standins/src/table_stub.rs
@@ -38,6 +38,8 @@
     LosesAnswers,
     /// Executes the call and answers with a malformed body.
     AnswersMalformed,
+    /// Answers watch calls with the current version and without the changes.
+    OmitsChanges,
 }
 
 #[derive(Debug, Default)]
@@ -178,6 +180,9 @@
         for _ in 0..=wait / 10 {
             {
                 let state = self.state();
+                if state.mode == StoreMode::OmitsChanges && state.version > after {
+                    return Ok(json!({ "rows": [], "ver": state.version, "nowS": 1.5 }));
+                }
                 if after < state.history_from {
                     return Err(StatusCode::GONE);
                 }
--- a/crates/standins/tests/entry_fleet.rs
+++ b/crates/standins/tests/entry_fleet.rs
@@ -5,7 +5,7 @@
 
 use {
     standins::{
-        CallerConnection, RequestSpec,
+        CallerConnection, RequestSpec, StoreMode,
         entry_fleet::{
             EntryConfiguration, EntryFleet, EntryFleetSettings, EntryWorkspace, look_up,
         },
@@ -144,6 +144,38 @@
     fleet.close();
 }
 
+/// A host kept a copy without a change that its version covered until the next
+/// change, although all its peers had the change: an answer of the store had left
+/// it out.
+#[tokio::test(flavor = "multi_thread")]
+async fn host_repairs_copy_that_lacks_a_change_of_its_version() {
+    let fleet = fleet(1_000.0).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let set_rule = |rule| {
+        for host in &fleet.hosts[1..] {
+            host.store().run(ProxyCommand::Rule { source: None, rule });
+        }
+    };
+    set_rule(LinkRule::CUT_BOTH);
+    fleet.store.set_mode(StoreMode::OmitsChanges);
+    fleet.publish(&configuration(2, "new-key", 1_000.0));
+    // The only host with a link to the store asks it again within this time.
+    sleep(Duration::from_millis(2_500)).await;
+    fleet.store.set_mode(StoreMode::Healthy);
+    set_rule(LinkRule::default());
+    wait_until(CONTACT_TIME, async || {
+        let front = fleet.hosts[1].addresses().front;
+        lookup_status(front, "peer", "new-key").await == Some(200)
+    })
+    .await;
+    let front = fleet.hosts[0].addresses().front;
+    wait_until(CONTACT_TIME, async || {
+        lookup_status(front, "repaired", "new-key").await == Some(200)
+    })
+    .await;
+    fleet.close();
+}
+
 /// Hosts that were cut off together confirmed each other's copies, so that
 /// neither logs nor metrics showed that all were outdated.
 #[tokio::test(flavor = "multi_thread")]
