--- a/crates/standins/src/signed_backend.rs
+++ b/crates/standins/src/signed_backend.rs
@@ -133,6 +133,8 @@
     pub has_run: bool,
     /// Whether the request was meant for another server at the same address.
     pub is_misdirected: bool,
+    /// Whether the server sheds the request and states a wait.
+    pub states_wait: bool,
     /// When the request arrived.
     pub at: Instant,
     /// Start line and headers of the request.
@@ -311,12 +313,19 @@
         mode
     }
 
-    fn record_arrival(&self, head: &RequestHead, has_run: bool, is_misdirected: bool) {
+    fn record_arrival(
+        &self,
+        head: &RequestHead,
+        has_run: bool,
+        is_misdirected: bool,
+        states_wait: bool,
+    ) {
         self.log.arrivals().push(BackendArrival {
             server: self.settings.id.clone(),
             service: self.settings.service.clone(),
             has_run,
             is_misdirected,
+            states_wait,
             at: Instant::now(),
             head: head.clone(),
         });
@@ -335,7 +344,7 @@
             )
         };
         if head.header("x-expect-instance") != Some(&self.settings.id) {
-            self.record_arrival(&head, false, true);
+            self.record_arrival(&head, false, true, false);
             let text = answer("421 Misdirected", "x-not-executed: 1\r\n");
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
@@ -344,7 +353,9 @@
             mode,
             AnswerMode::Resets | AnswerMode::ResetsLate | AnswerMode::Sheds | AnswerMode::ShedsLate
         );
-        self.record_arrival(&head, has_run, false);
+        let states_wait = matches!(mode, AnswerMode::Sheds | AnswerMode::ShedsLate)
+            && lock(&self.statement).retry_after.is_some();
+        self.record_arrival(&head, has_run, false, states_wait);
         let signed = "x-response-signature: s\r\n";
         let success = answer("200 OK", signed);
         sleep(self.settings.work).await;
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -3,7 +3,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    AnswerPlan, StandinError, StoreMode,
+    AnswerMode, AnswerPlan, BackendStatement, StandinError, StoreMode,
     entry_fleet::{EntryConfiguration, EntryFleet, EntryHost},
     fleet::ProcessSignal,
     proxy::{LinkRule, ProxyCommand},
@@ -18,6 +18,10 @@
 /// of a key until callers use the new one.
 const HANDOVER_TIME: Duration = Duration::from_millis(2_200);
 
+/// Time for which a server states a rate limit at least: until it binds, and one
+/// window.
+const LIMIT_TIME: Duration = Duration::from_secs(7);
+
 /// Expected state of a host's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProcessState {
@@ -31,6 +35,8 @@
     fleet: &'f mut EntryFleet,
     records: &'f SoakRecords,
     configuration: EntryConfiguration,
+    /// What each server states.
+    statements: Vec<BackendStatement>,
     expected: Vec<ProcessState>,
     active: Vec<RunningFault>,
     started: Instant,
@@ -54,6 +60,7 @@
     ) -> Self {
         FaultRunner {
             expected: vec![ProcessState::Running; fleet.hosts.len()],
+            statements: vec![BackendStatement::default(); fleet.servers.len()],
             fleet,
             records,
             configuration,
@@ -155,6 +162,42 @@
                 self.fleet.hosts[*host].store().run(silence);
                 return;
             }
+            SoakFault::SilenceAllStores => {
+                self.records.note(Incident::Store);
+                for host in &self.fleet.hosts {
+                    host.store().run(ProxyCommand::Silence { source: None });
+                }
+                return;
+            }
+            SoakFault::StateLimit(server, rate) => {
+                self.state(*server, |statement| {
+                    statement.rate_limit = Some(rate.to_string());
+                });
+                let id = self.fleet.servers[*server].id.clone();
+                self.records.note(Incident::Limited(id, Some(*rate)));
+                // The limit binds after a while, and is counted over a window.
+                span += LIMIT_TIME;
+            }
+            SoakFault::StateLeaving(server) => {
+                self.state(*server, |statement| statement.is_leaving = true);
+                let id = self.fleet.servers[*server].id.clone();
+                self.records.note(Incident::Leaving(id));
+                span += HANDOVER_TIME;
+            }
+            SoakFault::StateWait(server, share, wait_ms) => {
+                let wait = Duration::from_millis(*wait_ms);
+                self.state(*server, |statement| {
+                    statement.retry_after = Some(wait.as_secs_f64().to_string());
+                });
+                let plan = AnswerPlan {
+                    mode: AnswerMode::Sheds,
+                    share: *share,
+                    next: None,
+                };
+                self.fleet.set_plan(*server, plan);
+                let id = self.fleet.servers[*server].id.clone();
+                self.records.note(Incident::Waits(id, Some(wait)));
+            }
             SoakFault::SpoilServer(server, mode, share) => {
                 let plan = AnswerPlan {
                     mode: *mode,
@@ -235,6 +278,19 @@
                 self.set_store_rule(host, LinkRule::default());
                 Ok(())
             }
+            SoakFault::StateLimit(server, _) => {
+                let id = self.fleet.servers[server].id.clone();
+                self.records.note(Incident::Limited(id, None));
+                self.state(server, |statement| statement.rate_limit = None);
+                Ok(())
+            }
+            SoakFault::StateWait(server, ..) => {
+                let id = self.fleet.servers[server].id.clone();
+                self.records.note(Incident::Waits(id, None));
+                self.state(server, |statement| statement.retry_after = None);
+                self.fleet.set_plan(server, AnswerPlan::default());
+                Ok(())
+            }
             SoakFault::SpoilServer(server, ..) => {
                 self.fleet.set_plan(server, AnswerPlan::default());
                 Ok(())
@@ -243,11 +299,14 @@
                 self.set_server_rule(server, LinkRule::default());
                 Ok(())
             }
-            SoakFault::CrashServer(server) | SoakFault::DrainServer(server) => {
+            SoakFault::CrashServer(server)
+            | SoakFault::DrainServer(server)
+            | SoakFault::StateLeaving(server) => {
                 let id = self.fleet.servers[server].id.clone();
                 self.fleet.stop_server(server);
                 self.fleet.remove_entry(&id);
                 self.records.note(Incident::Left(id));
+                self.statements[server] = BackendStatement::default();
                 self.fleet.start_server(server).await
             }
             SoakFault::RevokeKey(workspace) => {
@@ -262,12 +321,20 @@
             SoakFault::HangUpHost(_)
             | SoakFault::ForgetHistory
             | SoakFault::SilenceStore(_)
+            | SoakFault::SilenceAllStores
             | SoakFault::SilenceServer(_)
             | SoakFault::ResetServer(_)
             | SoakFault::GrowConfiguration(_) => Ok(()),
         }
     }
 
+    /// Changes what a server states in its next answers.
+    fn state(&mut self, server: usize, change: impl FnOnce(&mut BackendStatement)) {
+        let statement = &mut self.statements[server];
+        change(statement);
+        self.fleet.set_statement(server, statement.clone());
+    }
+
     fn kill(&mut self, host: usize) {
         self.record_host_disturbance(host);
         self.fleet.hosts[host].signal(ProcessSignal::Kill);
--- a/crates/standins/src/soak/records.rs
+++ b/crates/standins/src/soak/records.rs
@@ -2,6 +2,7 @@
     fmt::Write,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use tokio::time::Instant;
@@ -56,6 +57,12 @@
     Revoked(String),
     /// The entry of a server was set to draining or removed in the store.
     Left(String),
+    /// A server began to state a rate limit, or no longer states it.
+    Limited(String, Option<f64>),
+    /// A server began to state that it leaves.
+    Leaving(String),
+    /// A server began to state a wait whenever it sheds, or no longer does.
+    Waits(String, Option<Duration>),
     /// A host was still running at the end of its stop grace period.
     Outlived(SocketAddr),
     /// A host's process exited unexpectedly.
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -29,6 +29,16 @@
     CutStore(usize, LinkRule),
     /// Open connections between one host and the store go silent permanently.
     SilenceStore(usize),
+    /// Open connections between all hosts and the store go silent permanently.
+    SilenceAllStores,
+    /// A backend server states that it takes so many requests per second.
+    StateLimit(usize, f64),
+    /// A backend server states that it leaves, while its entry says `ready`; it
+    /// is replaced at the end of the fault.
+    StateLeaving(usize),
+    /// A backend server sheds a share of its requests, and states so many
+    /// milliseconds for which it wants none.
+    StateWait(usize, f64, u64),
     /// A backend server misbehaves on a share of its requests.
     SpoilServer(usize, AnswerMode, f64),
     /// The link to a backend server is cut or delayed.
@@ -114,6 +124,8 @@
         AnswerMode::AnswersTwice,
         AnswerMode::Unsigned,
         AnswerMode::CutsAnswers,
+        AnswerMode::CutsHeads,
+        AnswerMode::RepeatsRefusal,
         AnswerMode::Slow,
         AnswerMode::Hangs,
     ];
@@ -139,7 +151,15 @@
         43..46 => SoakFault::ForgetHistory,
         46..53 => SoakFault::CutStore(host, rule),
         53..57 => SoakFault::SilenceStore(host),
-        57..72 => SoakFault::SpoilServer(server, mode, random.random_range(0.3..1.0)),
+        57..58 => SoakFault::SilenceAllStores,
+        58..61 => SoakFault::StateLimit(server, random.random_range(0.5..6.0)),
+        61..63 => SoakFault::StateLeaving(server),
+        63..66 => SoakFault::StateWait(
+            server,
+            random.random_range(0.3..1.0),
+            random.random_range(700..2_500),
+        ),
+        66..72 => SoakFault::SpoilServer(server, mode, random.random_range(0.3..1.0)),
         72..78 => SoakFault::CutServer(server, rule),
         78..82 => SoakFault::SilenceServer(server),
         82..85 => SoakFault::ResetServer(server),
