--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -11,8 +11,10 @@
 mod read_timer;
 mod retry_allowance;
 mod server_backoff;
+mod server_choice;
 mod server_entry;
 mod server_pool;
+mod server_signal;
 mod server_statement;
 mod sliding_counter;
 mod table_copy;
@@ -31,11 +33,10 @@
     pool_settings::PoolSettings,
     read_timer::{ReadState, ReadTimer},
     retry_allowance::{AllowanceSettings, RetryAllowance},
+    server_choice::{ChoiceRefusal, ChoiceRequest, ServerChoice},
     server_entry::ServerEntry,
-    server_pool::{
-        ChoiceRefusal, ChoiceRequest, PeerKey, ServerChoice, ServerKey, ServerPool, ServerSignal,
-        SignalScope, SuspicionChange,
-    },
+    server_pool::{PeerKey, ServerKey, ServerPool},
+    server_signal::{ServerSignal, SignalScope, SuspicionChange},
     server_statement::{ServerStatement, StatedLimit, StatementCounts, StatementReport},
     sliding_counter::SlidingCounter,
     table_copy::{TableCopy, TableDelta, TableRow},
--- a/crates/mangostep-policy/tests/dispatch/main.rs
+++ b/crates/mangostep-policy/tests/dispatch/main.rs
@@ -17,7 +17,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use mangostep_policy::{MonotonicTime, ServerEntry};
+use {
+    mangostep_objects::RequestKind,
+    mangostep_policy::{ChoiceRequest, MonotonicTime, ServerEntry},
+};
 
 /// Returns the time `millis` after the start of a test.
 fn at_ms(millis: u64) -> MonotonicTime {
@@ -37,3 +40,19 @@
         started_ms: 1,
     }
 }
+
+/// Returns an idempotent request for `ledger`, from a host of zone `a` whose
+/// retry budget is not used up.
+fn idempotent_request() -> ChoiceRequest<'static> {
+    ChoiceRequest {
+        service: "ledger",
+        kind: RequestKind::Idempotent,
+        zone: "a",
+        tried: &[],
+        priority: 0,
+        time_left: Duration::from_secs(2),
+        own_rate_per_s: 1.0,
+        sees_peer_traffic: true,
+        may_retry: true,
+    }
+}
