Report no age for copies that were never confirmed

A host whose copy came from a peer reported the largest age that fits, and its peers took that over: copies were logged as outdated by weeks.

--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -59,7 +59,8 @@
     /// Size of the rows in the most recent change, in bytes.
     pub(crate) changed_bytes: usize,
     /// Time since the sender's copy was known to be current, in milliseconds.
-    pub(crate) age_ms: u32,
+    /// `None` if it never was.
+    pub(crate) age_ms: Option<u32>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -113,8 +113,10 @@
     let mut newer_copies = context.peers.newer_copies.borrow_mut();
     for summary in report.tables {
         let own = tables.of_mut(summary.table);
-        if own.digest == summary.digest {
-            let age = Duration::from_millis(summary.age_ms.into());
+        if own.digest == summary.digest
+            && let Some(age_ms) = summary.age_ms
+        {
+            let age = Duration::from_millis(age_ms.into());
             own.confirmed = own.confirmed.max(Some(now - age));
         }
         let is_conflict = own.is_known && own.compare(&summary) == CopyComparison::Conflict;
--- a/crates/mangostep-entry/src/peers/reporting.rs
+++ b/crates/mangostep-entry/src/peers/reporting.rs
@@ -178,7 +178,7 @@
             version: tables.of(table).copy.version(),
             digest: tables.of(table).digest,
             changed_bytes: tables.of(table).changed_bytes,
-            age_ms: tables.of(table).confirmed.map_or(u32::MAX, |confirmed| {
+            age_ms: tables.of(table).confirmed.map(|confirmed| {
                 u32::try_from(now.since(confirmed).as_millis()).unwrap_or(u32::MAX)
             }),
         })
