Hold back servers whose address has a new owner

Cause: the addresses of ended servers had gone to another service. Each 421 was evidence that the server fails, but while its service had few servers left it was still the best choice, so every request was retried at up to five of them, until their entries lapsed. The new owner's service bears these arrivals: 193 in ten seconds, where its own requests were 322.

A server at whose address another one answered, to any host, is not asked for 6 s, within which the entry of an ended server lapses. Ruled out: a leak in the division of the budget (the retries of the addressed service were 184 for 1,455 requests).

dispatch: servers_with_a_new_owner_of_their_address_are_not_asked_again fails before and passes after.

--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -38,6 +38,9 @@
     /// Time for which a server that shed a request is avoided if others are as
     /// good.
     pub shed_backoff: Duration,
+    /// Time for which a server is not asked after another one answered at its
+    /// address. Its entry lapses within that time if it is gone.
+    pub misdirected_time: Duration,
     /// Cost of a server that shed a request recently. A retry is expensive if
     /// all servers shed.
     pub shed_cost: Duration,
@@ -109,6 +112,7 @@
             jitter: Duration::from_millis(20),
             trial_interval: Duration::from_millis(600),
             shed_backoff: Duration::from_millis(300),
+            misdirected_time: Duration::from_secs(6),
             shed_cost: Duration::from_millis(500),
             healthy_explore_interval: Duration::from_millis(1_500),
             likely_healthy_belief: 0.1,
--- a/crates/mangostep-policy/src/dispatch/server_pool/choosing.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/choosing.rs
@@ -58,6 +58,9 @@
                 continue;
             }
             let record = &self.servers[key];
+            if record.misdirected_until > now {
+                continue;
+            }
             if let Some((reason, wait)) = self.held_back(record, request, now) {
                 if matches!(refusal, ChoiceRefusal::NoServer | ChoiceRefusal::AllCold) {
                     refusal = reason;
--- a/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
@@ -48,6 +48,9 @@
     cold_starts: VecDeque<MonotonicTime>,
     /// When the server is removed after its entry lapsed.
     held_until: Option<MonotonicTime>,
+    /// Until when the server is not asked, because another one answered at its
+    /// address.
+    misdirected_until: MonotonicTime,
     statements: StatementRecord,
     backoff: ServerBackoff,
 }
@@ -158,6 +161,7 @@
             shedding_until: MonotonicTime::ZERO,
             cold_starts: VecDeque::new(),
             held_until: None,
+            misdirected_until: MonotonicTime::ZERO,
             statements: self.known_statements(entry, now),
             backoff: ServerBackoff::default(),
         });
--- a/crates/mangostep-policy/src/dispatch/server_pool/outcomes.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/outcomes.rs
@@ -73,6 +73,9 @@
         let Some(record) = self.servers.get_mut(key) else {
             return;
         };
+        if signal == ServerSignal::Misdirected {
+            record.misdirected_until = now + self.settings.misdirected_time;
+        }
         if signal == ServerSignal::Shed {
             record.shedding_until = now + self.settings.shed_backoff;
         }
--- a/crates/mangostep-policy/tests/dispatch/failing_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/failing_servers.rs
@@ -437,6 +437,32 @@
     }
 }
 
+/// The addresses of ended servers went to another service. Each host retried
+/// every request at all of them until their entries lapsed, and the retries
+/// counted against the budget of the service that had the addresses.
+#[test]
+fn servers_with_a_new_owner_of_their_address_are_not_asked_again() {
+    let mut pool = pool_of(3);
+    let mut random = SmallRng::seed_from_u64(16);
+    let gone = ["s0", "s1"].map(|id| pool.find(id).expect("known"));
+    // One server answered this host, the other one a peer.
+    pool.record_own_outcome(gone[0], ServerSignal::Misdirected, at_ms(0), at_ms(1));
+    pool.record_peer_outcome(gone[1], ServerSignal::Misdirected, at_ms(0), at_ms(1));
+    let other = pool.find("s2").expect("known");
+    for now_ms in 2..2_000 {
+        // The third server fails, so that any other one would look better.
+        pool.record_own_outcome(other, ServerSignal::Failure, at_ms(now_ms), at_ms(now_ms));
+        for kind in [RequestKind::Idempotent, RequestKind::NonIdempotent] {
+            let choice = pick(&pool, kind, &mut random, at_ms(now_ms));
+            assert_eq!(choice, other, "at {now_ms} ms");
+        }
+    }
+    // A false answer does not take a server away for good.
+    let chosen = (7_000..9_000)
+        .map(|now_ms| pick(&pool, RequestKind::Idempotent, &mut random, at_ms(now_ms)));
+    assert!(chosen.into_iter().any(|key| gone.contains(&key)));
+}
+
 /// All servers are equally good, and this host has connections to two of them.
 #[test]
 fn connected_servers_are_preferred_among_equals() {
