--- a/review/tools/src/fleet.rs
+++ b/review/tools/src/fleet.rs
@@ -6,6 +6,7 @@
     fs::File,
     io::{self, Write},
     net::{SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -28,6 +29,27 @@
 
 pub const KEY: &str = "i9n73hh2b9wu3fexd9dn";
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Starts a process that ends with this one, in whatever way this one ends.
+/// Only the main thread may call it: the kernel ends the process when the
+/// thread that started it ends.
+fn spawn(command: &mut Command) -> io::Result<Process> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: usize = 9;
+    // SAFETY: the closure only makes one system call.
+    unsafe {
+        command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+            0 => Ok(()),
+            _ => Err(io::Error::last_os_error()),
+        });
+    }
+    command.spawn().map(Process)
+}
+
 /// A process that is killed when dropped.
 pub struct Process(Child);
 
@@ -182,15 +204,15 @@
         let id = format!("i-{:04}", self.started);
         let address = free_port()?;
         let output = self.folder.join(format!("{id}.out"));
-        let child = Command::new(std::env::current_exe()?)
+        let mut command = Command::new(std::env::current_exe()?);
+        command
             .args(["server", &address.to_string(), &id])
             .arg(shape.work.as_millis().to_string())
             .arg(shape.manner.as_str())
             .stdin(Stdio::null())
             .stdout(File::create(&output)?)
-            .stderr(Stdio::null())
-            .spawn()?;
-        let process = Process(child);
+            .stderr(Stdio::null());
+        let process = spawn(&mut command)?;
         let end = Instant::now() + Duration::from_secs(5);
         while std::fs::read_to_string(&output)?.is_empty() {
             if Instant::now() > end {
@@ -264,13 +286,15 @@
     }
 
     /// Ends all processes.
-    pub fn close(mut self) {
+    pub fn close(self) {}
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
         self.hosts.clear();
         self.instances.clear();
-        if std::env::var_os("KEEP").is_none() {
-            // A folder that stays does no harm.
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
+        // A folder that stays does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -280,14 +304,14 @@
         let program = std::env::var("MANGOSTEP").unwrap_or("target/release/mangostep".to_owned());
         let log = folder.join(format!("{}.log", self.name));
         let log = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .arg("entry")
             .arg(&self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.process = Some(Process(child));
+            .stderr(log);
+        self.process = Some(spawn(&mut command)?);
         Ok(())
     }
 }
@@ -299,9 +323,6 @@
         let Some(mut process) = self.process.take() else {
             return Ok(());
         };
-        unsafe extern "C" {
-            fn kill(process: i32, signal: i32) -> i32;
-        }
         const SIGTERM: i32 = 15;
         let id = i32::try_from(process.id()).map_err(io::Error::other)?;
         // SAFETY: the process was started here and was not waited for, so that
