Log what decided whether a removed server stays in use

The line of a removal said only that it was held. It now has the version of the removal, the time of the hold, how many entries were removed together, the age of the last failed call and the age of the copy before: a hold after a failed call, a hold of a mass removal and a late read look different. A counter counts removals by whether they were held.

--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -13,6 +13,18 @@
     prelude::*,
 };
 
+/// A copy of a table before a delta is applied to it.
+#[derive(Clone, Copy)]
+struct CopyProgress {
+    /// Whether the table was never read before.
+    is_first_read: bool,
+    /// Number of rows.
+    total: usize,
+    /// Time since the copy was last known to be current; `None` if it never
+    /// was.
+    age: Option<Duration>,
+}
+
 /// Applies a delta of a table to the copy and to the state derived from it.
 pub(super) fn apply<P: Platform>(
     context: &HostContext,
@@ -21,20 +33,24 @@
     delta: TableDelta,
     source: CopySource,
 ) {
-    let (version, is_first_read, changed, total) = {
+    let now = clock::now();
+    let (version, changed, progress) = {
         let mut tables = context.tables.borrow_mut();
         let state = tables.of_mut(table);
-        let is_first_read = !state.is_known;
+        let progress = CopyProgress {
+            is_first_read: !state.is_known,
+            total: state.copy.rows().count(),
+            age: state.confirmed.map(|confirmed| now.since(confirmed)),
+        };
         let (version, is_whole) = (delta.version, delta.is_whole);
-        let total = state.copy.rows().count();
         let changed = state.copy.apply_unless(delta, |known, new| {
             table == FleetTable::Servers && is_heartbeat(platform, known, new)
         });
         state.is_known = true;
         if source == CopySource::Store && version >= state.copy.version() {
-            state.confirmed = Some(clock::now());
+            state.confirmed = Some(now);
             if is_whole {
-                state.read_whole = Some(clock::now());
+                state.read_whole = Some(now);
                 state.conflict_since = None;
             }
         }
@@ -45,7 +61,7 @@
             .iter()
             .map(|row| row.value.as_ref().map_or(0, Vec::len));
         state.changed_bytes = sizes.sum();
-        (version, is_first_read, changed, total)
+        (version, changed, progress)
     };
     if !changed.is_empty() {
         info!(context.log, "table changed"; "table" => table.as_str(), "source" => source.as_str(),
@@ -53,13 +69,13 @@
     }
     match table {
         FleetTable::Operator => apply_operator(context, platform, &changed),
-        FleetTable::Servers => apply_servers(context, platform, &changed, is_first_read, total),
+        FleetTable::Servers => apply_servers(context, platform, &changed, progress),
         FleetTable::Hosts => apply_hosts(context, &changed),
     }
-    if !changed.is_empty() || is_first_read {
+    if !changed.is_empty() || progress.is_first_read {
         let digest = digest_of(context, platform, table);
         context.tables.borrow_mut().of_mut(table).digest = digest;
-        if table == FleetTable::Hosts && is_first_read {
+        if table == FleetTable::Hosts && progress.is_first_read {
             // The hosts that probably have the other tables are now known.
             context.peers.newer_copies_wake.notify_one();
         }
@@ -170,13 +186,15 @@
     context: &HostContext,
     platform: &P,
     changed: &[TableRow],
-    is_first_read: bool,
-    total: usize,
+    progress: CopyProgress,
 ) {
     let now = clock::now();
     let removed = changed.iter().filter(|row| row.value.is_none()).count();
-    let held_until = context.lapse.borrow().hold_until(now, removed, total);
-    let joining_cold = match is_first_read {
+    let held_until = context
+        .lapse
+        .borrow()
+        .hold_until(now, removed, progress.total);
+    let joining_cold = match progress.is_first_read {
         true => Duration::ZERO,
         false => longest_cold_ramp(context),
     };
@@ -187,8 +205,7 @@
                 Some(until) => pool.hold(&row.key, until),
                 None => drop(pool.remove(&row.key)),
             }
-            info!(context.log, "server entry removed"; "server" => &row.key,
-                "held" => held_until.is_some());
+            log_removal(context, row, held_until, removed, progress);
             continue;
         };
         match platform.decode_server_row(&row.key, value) {
@@ -208,6 +225,30 @@
     }
 }
 
+/// Logs the removal of a server's entry, with what decided whether the server
+/// stays in use.
+fn log_removal(
+    context: &HostContext,
+    row: &TableRow,
+    held_until: Option<MonotonicTime>,
+    removed: usize,
+    progress: CopyProgress,
+) {
+    let millis = |span: Duration| span.as_millis() as u64;
+    let now = clock::now();
+    let held = held_until.map(|until| until.since(now));
+    let failure_age = context.lapse.borrow().failure_age(now);
+    let label = held.map_or("false", |_| "true");
+    context
+        .counters
+        .count("server-entry-removed", &[("held", label)]);
+    info!(context.log, "server entry removed"; "server" => &row.key,
+        "version" => row.version, "held" => held.is_some(), "held_ms" => held.map(millis),
+        "removed" => removed, "of" => progress.total,
+        "failure_age_ms" => failure_age.map(millis),
+        "copy_age_ms" => progress.age.map(millis));
+}
+
 fn apply_hosts(context: &HostContext, changed: &[TableRow]) {
     let mut hosts = context.hosts.borrow_mut();
     for row in changed {
--- a/crates/mangostep-policy/src/dispatch/lapse_rule.rs
+++ b/crates/mangostep-policy/src/dispatch/lapse_rule.rs
@@ -51,6 +51,11 @@
         self.last_failure = Some(now);
     }
 
+    /// Time since the last failed call to the store.
+    pub fn failure_age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.last_failure.map(|failed| now.since(failed))
+    }
+
     /// Returns the time until which entries that were removed now stay in use,
     /// or `None` if they are removed at once. `removed` of the service's
     /// `total` entries disappeared together.
