Take removed servers out of use unless the whole fleet lost the store

Cause: a removal counted as a lapse for 2.2 s from the moment at which a host read it, if a call of that host had failed within 3 s, whoever else the store answered, or if two in five entries disappeared together.

Now only 3.5 s without an answer of the store to any host put a removal in doubt, by the ages of copies in the peers' reports, and the hold ends 1.8 s after the return of the store. A choice looks at the end of the hold itself. The first watch call after a failure or restart returns at once, so that peers hear of the store sooner.

--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -23,6 +23,8 @@
     /// Time since the copy was last known to be current; `None` if it never
     /// was.
     age: Option<Duration>,
+    /// Time since the store last answered any host.
+    contact_age: Option<Duration>,
 }
 
 /// Applies a delta of a table to the copy and to the state derived from it.
@@ -41,6 +43,7 @@
             is_first_read: !state.is_known,
             total: state.copy.rows().count(),
             age: state.confirmed.map(|confirmed| now.since(confirmed)),
+            contact_age: context.lapse.borrow().contact_age(now),
         };
         let (version, is_whole) = (delta.version, delta.is_whole);
         let changed = state.copy.apply_unless(delta, |known, new| {
@@ -49,6 +52,9 @@
         state.is_known = true;
         if source == CopySource::Store && version >= state.copy.version() {
             state.confirmed = Some(now);
+            if table == FleetTable::Servers {
+                context.lapse.borrow_mut().record_contact(now);
+            }
             if is_whole {
                 state.read_whole = Some(now);
                 state.conflict_since = None;
@@ -190,10 +196,7 @@
 ) {
     let now = clock::now();
     let removed = changed.iter().filter(|row| row.value.is_none()).count();
-    let held_until = context
-        .lapse
-        .borrow()
-        .hold_until(now, removed, progress.total);
+    let held_until = context.lapse.borrow().hold_until(now);
     let joining_cold = match progress.is_first_read {
         true => Duration::ZERO,
         false => longest_cold_ramp(context),
@@ -237,7 +240,6 @@
     let millis = |span: Duration| span.as_millis() as u64;
     let now = clock::now();
     let held = held_until.map(|until| until.since(now));
-    let failure_age = context.lapse.borrow().failure_age(now);
     let label = held.map_or("false", |_| "true");
     context
         .counters
@@ -245,7 +247,7 @@
     info!(context.log, "server entry removed"; "server" => &row.key,
         "version" => row.version, "held" => held.is_some(), "held_ms" => held.map(millis),
         "removed" => removed, "of" => progress.total,
-        "failure_age_ms" => failure_age.map(millis),
+        "contact_age_ms" => progress.contact_age.map(millis),
         "copy_age_ms" => progress.age.map(millis));
 }
 
--- a/crates/mangostep-entry/src/follow/store.rs
+++ b/crates/mangostep-entry/src/follow/store.rs
@@ -79,6 +79,7 @@
         is_complete: false,
         was_watcher: false,
         failures: 0,
+        verifies_next: false,
         repair_delay: {
             let spread = context.random.borrow_mut().random_range(0.0..1.0);
             REPAIR_DELAY_MAX.mul_f64(spread)
@@ -104,6 +105,8 @@
     was_watcher: bool,
     /// Number of consecutive failed calls.
     failures: u32,
+    /// Whether the next watch call only verifies that the store answers.
+    verifies_next: bool,
     /// Time from a conflict with a peer's copy until the table is read.
     repair_delay: Duration,
 }
@@ -198,26 +201,32 @@
             Err(err) if err.kind == StoreErrorKind::HistoryGone => {
                 info!(context.log, "history gone"; "table" => self.table.as_str(),
                     "after" => after);
-                context.lapse.borrow_mut().record_failure(clock::now());
                 self.is_complete = false;
             }
             Err(err) => self.handle_error(&err).await,
         }
     }
 
-    /// Waits for changes after a version. Returns `None` if the call must be
+    /// Waits for changes after a version. The first call after a failure or a
+    /// restart returns at once, so that peers learn soon that the store
+    /// answers. Returns `None` if the call must be
     /// given up: this host became the lead watcher, its call may be on a silent
     /// connection, and no other watcher would notice; or the whole table must
     /// be read.
-    async fn watch(&self, after: u64) -> Option<Result<TableDelta, StoreError>> {
-        if self.is_lead() {
-            let wait = LEAD_WATCH_TIMEOUT;
+    async fn watch(&mut self, after: u64) -> Option<Result<TableDelta, StoreError>> {
+        let verifies = std::mem::take(&mut self.verifies_next);
+        if verifies || self.is_lead() {
+            let wait = match verifies {
+                true => Duration::ZERO,
+                false => LEAD_WATCH_TIMEOUT,
+            };
             return Some(self.platform.watch_table(self.table, after, wait).await);
         }
         tokio::select! {
             read = self.platform.watch_table(self.table, after, WATCH_TIMEOUT) => Some(read),
             () = self.wait_for_restart() => {
                 info!(self.context.log, "watch restarted"; "table" => self.table.as_str());
+                self.verifies_next = true;
                 None
             }
         }
@@ -257,12 +266,12 @@
             warn!(context.log, "store lost"; "table" => self.table.as_str(),
                 "error" => err.to_string());
         }
-        context.lapse.borrow_mut().record_failure(clock::now());
         self.is_complete &= err.kind != StoreErrorKind::Malformed;
         context.record_store_call(false);
         context.report_wake.notify_one();
         let backoff = FAILURE_BACKOFF_MIN * 2_u32.pow(self.failures.min(4));
         self.failures += 1;
+        self.verifies_next = true;
         let spread = context.random.borrow_mut().random_range(0.7..1.3);
         tokio::time::sleep(backoff.min(FAILURE_BACKOFF_MAX).mul_f64(spread)).await;
         if self.is_complete && self.table != FleetTable::Operator {
--- a/crates/mangostep-entry/src/forward/sender.rs
+++ b/crates/mangostep-entry/src/forward/sender.rs
@@ -133,7 +133,7 @@
                 trace.detail = ChoiceRefusal::RateLimited.as_str();
                 return self.give_up(last, RETRY_AFTER);
             }
-            if !self.context.pool.borrow().accepts_work(key) {
+            if !self.context.pool.borrow().accepts_work(key, clock::now()) {
                 // The server began to leave while a token was requested.
                 continue;
             }
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -289,10 +289,11 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         peers::discard_idle_buckets(&context);
+        let now = clock::now();
         let pool = context.pool.borrow();
         context
             .connections
-            .sweep(clock::now(), |key| pool.accepts_work(key));
+            .sweep(now, |key| pool.accepts_work(key, now));
     }
 }
 
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -9,6 +9,7 @@
     clock,
     peers::NewerCopy,
     peers::messages::{HostReport, PeerMessage, SignalReport, TokenRequest, decode, encode},
+    platform::FleetTable,
     prelude::*,
     statements,
     suspicion::{SuspicionCause, log_suspicion_change},
@@ -113,11 +114,14 @@
     let mut newer_copies = context.peers.newer_copies.borrow_mut();
     for summary in report.tables {
         let own = tables.of_mut(summary.table);
-        if own.digest == summary.digest
-            && let Some(age_ms) = summary.age_ms
-        {
-            let age = Duration::from_millis(age_ms.into());
-            own.confirmed = own.confirmed.max(Some(now - age));
+        if let Some(age_ms) = summary.age_ms {
+            let confirmed = now - Duration::from_millis(age_ms.into());
+            if own.digest == summary.digest {
+                own.confirmed = own.confirmed.max(Some(confirmed));
+            }
+            if summary.table == FleetTable::Servers {
+                context.lapse.borrow_mut().record_contact(confirmed);
+            }
         }
         let is_conflict = own.is_known && own.compare(&summary) == CopyComparison::Conflict;
         if is_conflict && summary.table.is_verified_often() && own.conflict_since.is_none() {
--- a/crates/mangostep-policy/src/dispatch/lapse_rule.rs
+++ b/crates/mangostep-policy/src/dispatch/lapse_rule.rs
@@ -5,23 +5,21 @@
 /// Settings of a [`LapseRule`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct LapseSettings {
-    /// Time after a failed call to the store in which removals are in doubt.
-    /// The platform counts a host as connected again after this time.
-    pub doubt: Duration,
-    /// Time for which a removed entry stays in use while in doubt. Entries
-    /// that lapsed during an outage are written again within two seconds.
-    pub hold: Duration,
-    /// Share of a service's entries whose simultaneous removal is in doubt
-    /// even without a failed call. Planned work removes fewer at a time.
-    pub mass_share: f64,
+    /// Shortest time without contact to the store in which an entry may lapse.
+    /// A server renews its entry twice in this time, and an entry lapses after
+    /// three missed renewals.
+    pub outage_min: Duration,
+    /// Time after the return of the store for which removed entries stay in
+    /// use. With the time until a host hears of the return, it is less than the
+    /// 3 s after which the host must know all servers that left.
+    pub return_time: Duration,
 }
 
 impl Default for LapseSettings {
     fn default() -> Self {
         LapseSettings {
-            doubt: Duration::from_secs(3),
-            hold: Duration::from_millis(2_200),
-            mass_share: 0.4,
+            outage_min: Duration::from_millis(3_500),
+            return_time: Duration::from_millis(1_800),
         }
     }
 }
@@ -30,45 +28,48 @@
 ///
 /// An entry lapses when its server cannot renew it. After a store outage this
 /// is no evidence against the servers, which write their entries again shortly
-/// afterwards.
+/// afterwards. Only an outage for the whole fleet counts: while the store
+/// answers any host, it also takes the renewals of servers, and a removed entry
+/// means that the server left.
 #[derive(Clone, Debug, Default)]
 pub struct LapseRule {
     settings: LapseSettings,
-    last_failure: Option<MonotonicTime>,
+    /// When the store last answered any host, as far as this host knows.
+    last_contact: Option<MonotonicTime>,
+    /// When the store answered again after the last outage.
+    returned: Option<MonotonicTime>,
 }
 
 impl LapseRule {
-    /// Creates a rule that has seen no failed call.
+    /// Creates a rule that knows of no contact to the store.
     pub fn open(settings: LapseSettings) -> Self {
         LapseRule {
             settings,
-            last_failure: None,
+            ..Default::default()
         }
     }
 
-    /// Records a failed call to the store.
-    pub fn record_failure(&mut self, now: MonotonicTime) {
-        self.last_failure = Some(now);
+    /// Records that the store answered this host or a peer at `at`.
+    pub fn record_contact(&mut self, at: MonotonicTime) {
+        let Some(last) = self.last_contact.filter(|last| *last < at) else {
+            self.last_contact = self.last_contact.or(Some(at));
+            return;
+        };
+        if at.since(last) >= self.settings.outage_min {
+            self.returned = Some(at);
+        }
+        self.last_contact = Some(at);
     }
 
-    /// Time since the last failed call to the store.
-    pub fn failure_age(&self, now: MonotonicTime) -> Option<Duration> {
-        self.last_failure.map(|failed| now.since(failed))
+    /// Time since the store last answered any host.
+    pub fn contact_age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.last_contact.map(|at| now.since(at))
     }
 
     /// Returns the time until which entries that were removed now stay in use,
-    /// or `None` if they are removed at once. `removed` of the service's
-    /// `total` entries disappeared together.
-    pub fn hold_until(
-        &self,
-        now: MonotonicTime,
-        removed: usize,
-        total: usize,
-    ) -> Option<MonotonicTime> {
-        let is_after_failure = self
-            .last_failure
-            .is_some_and(|failed| now.since(failed) < self.settings.doubt);
-        let is_mass = removed > 2 && removed as f64 >= total as f64 * self.settings.mass_share;
-        (is_after_failure || is_mass).then(|| now + self.settings.hold)
+    /// or `None` if they are removed at once.
+    pub fn hold_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let until = self.returned? + self.settings.return_time;
+        (until > now).then_some(until)
     }
 }
--- a/crates/mangostep-policy/src/dispatch/server_pool/choosing.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/choosing.rs
@@ -53,7 +53,11 @@
         let mut refusal = ChoiceRefusal::NoServer;
         let mut shortest_wait = RETRY_AFTER_MAX;
         let (mut cold_pick, mut cold_fallback) = (None, None);
-        for key in keys.iter().copied().filter(|key| self.accepts_work(*key)) {
+        for key in keys
+            .iter()
+            .copied()
+            .filter(|key| self.accepts_work(*key, now))
+        {
             if request.tried.contains(&key) {
                 continue;
             }
--- a/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
@@ -234,11 +234,13 @@
     }
 
     /// Whether a server may get requests: it is not draining, did not state
-    /// that it leaves, and its zone is in service.
-    pub fn accepts_work(&self, key: ServerKey) -> bool {
+    /// that it leaves, its entry did not lapse for good, and its zone is in
+    /// service.
+    pub fn accepts_work(&self, key: ServerKey, now: MonotonicTime) -> bool {
         self.servers.get(key).is_some_and(|record| {
             !record.entry.is_draining
                 && !record.statements.is_leaving()
+                && record.held_until.is_none_or(|until| until > now)
                 && !self.zones_out.contains(&record.entry.zone)
         })
     }
--- a/crates/mangostep-policy/tests/dispatch/leaving_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/leaving_servers.rs
@@ -63,7 +63,7 @@
         ..server(0)
     };
     let key = pool.put(&restarted, Duration::ZERO, at_ms(600));
-    assert!(pool.accepts_work(key));
+    assert!(pool.accepts_work(key, at_ms(6_000)));
 }
 
 /// An outage of the store removes and restores entries; a server that left in
@@ -75,7 +75,7 @@
     pool.record_own_statement(key, LEAVING, at_ms(10));
     pool.remove("s0");
     let key = pool.put(&server(0), Duration::ZERO, at_ms(5_000));
-    assert!(!pool.accepts_work(key));
+    assert!(!pool.accepts_work(key, at_ms(6_000)));
 }
 
 /// A restarted host hears from its peers before it has read the entries.
@@ -84,7 +84,7 @@
     let mut pool = pool(0);
     pool.record_peer_statement(&report(0, 300), at_ms(1_000));
     let key = pool.put(&server(0), Duration::ZERO, at_ms(1_100));
-    assert!(!pool.accepts_work(key));
+    assert!(!pool.accepts_work(key, at_ms(6_000)));
     // It passes on what it heard, once it is a watcher.
     let reports: Vec<StatementReport> = pool.statement_reports(true, None, at_ms(1_200)).collect();
     assert_eq!(reports.len(), 1);
@@ -103,7 +103,7 @@
     };
     pool.record_own_statement(key, limited, at_ms(1_000));
     assert!(pool.record_peer_statement(&report(0, 500), at_ms(1_100)));
-    assert!(!pool.accepts_work(key));
+    assert!(!pool.accepts_work(key, at_ms(6_000)));
     assert!(pool.rate_limit(key).is_some(), "the newer limit stays");
 }
 
--- a/crates/mangostep-policy/tests/dispatch/main.rs
+++ b/crates/mangostep-policy/tests/dispatch/main.rs
@@ -7,6 +7,7 @@
 mod failing_servers;
 mod host_table;
 mod hot_workspace;
+mod lapse_rule;
 mod leaving_servers;
 mod limited_servers;
 mod read_timer;
--- a/crates/mangostep-policy/tests/dispatch/table_copy.rs
+++ b/crates/mangostep-policy/tests/dispatch/table_copy.rs
@@ -2,7 +2,7 @@
 
 use {
     bolero::{TypeGenerator, check},
-    mangostep_policy::{LapseRule, LapseSettings, TableCopy, TableDelta, TableRow},
+    mangostep_policy::{TableCopy, TableDelta, TableRow},
     mangostep_testing::seeded,
 };
 
@@ -132,15 +132,3 @@
     let back = vec![entry(3, 4, 1, 2)];
     assert_eq!(copy.apply_unless(delta(4, back), is_same).len(), 1);
 }
-
-/// The store was unavailable, and all entries lapsed meanwhile.
-#[test]
-fn entries_that_lapse_in_a_store_outage_stay_for_two_seconds() {
-    let mut rule = LapseRule::open(LapseSettings::default());
-    assert_eq!(rule.hold_until(at_ms(0), 1, 30), None);
-    rule.record_failure(at_ms(1_000));
-    let until = rule.hold_until(at_ms(3_900), 1, 30).expect("in doubt");
-    assert!(until >= at_ms(5_900));
-    assert_eq!(rule.hold_until(at_ms(4_100), 1, 30), None);
-    assert!(rule.hold_until(at_ms(60_000), 25, 30).is_some());
-}
