Read changes from the next peer beside one that does not answer

A host that depends on its peers read changes of all tables in one task, from one peer after another with a timeout of 1.2 s each.

Each table now has a task of its own. 150 ms after the start of a read, and the time for which the change occupies the peer's link, the next one begins beside it, also from peers that report meanwhile.

--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -83,7 +83,9 @@
         context.tables.borrow_mut().of_mut(table).digest = digest;
         if table == FleetTable::Hosts && progress.is_first_read {
             // The hosts that probably have the other tables are now known.
-            context.peers.newer_copies_wake.notify_one();
+            for other in FleetTable::ALL {
+                context.peers.newer_copies(other).wake();
+            }
         }
         context.report_wake.notify_one();
     }
--- a/crates/mangostep-entry/src/follow/hosts.rs
+++ b/crates/mangostep-entry/src/follow/hosts.rs
@@ -1,9 +1,11 @@
-use std::net::SocketAddr;
+use std::{collections::VecDeque, net::SocketAddr};
 
 use {
+    futures::{StreamExt, stream::FuturesUnordered},
     mangostep_policy::CopySource,
     rand::{RngExt, seq::SliceRandom},
     slog::info,
+    tokio::time::{Instant, sleep, sleep_until, timeout},
 };
 
 use crate::{
@@ -30,13 +32,25 @@
 /// is many times the usual time of the store.
 const STORE_READ_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Reads changes from peers that this host has not read from the store, until
-/// the host closes.
-pub(crate) async fn follow_peers<P: Platform>(context: Rc<HostContext>, platform: Rc<P>) {
+/// Time after which a read from the next peer begins beside one that has not
+/// ended. A peer may have frozen right after it reported a change, and a read
+/// from it ends only with its timeout.
+const NEXT_READ_DELAY: Duration = Duration::from_millis(150);
+
+/// Maximum of that time for changes that take long to send.
+const NEXT_READ_DELAY_MAX: Duration = Duration::from_millis(600);
+
+/// Reads changes of a table from peers that this host has not read from the
+/// store, until the host closes.
+pub(crate) async fn follow_peers<P: Platform>(
+    context: Rc<HostContext>,
+    platform: Rc<P>,
+    table: FleetTable,
+) {
+    let newer_copies = context.peers.newer_copies(table);
     while context.phase.get() < HostPhase::Closing {
-        let wake = context.peers.newer_copies_wake.notified();
         // If no peer reports, the seeds are tried after the timeout.
-        let _ = tokio::time::timeout(CHECK_INTERVAL_MAX, wake).await;
+        let _ = timeout(CHECK_INTERVAL_MAX, newer_copies.wait()).await;
         let delay = match context.hosts.borrow().is_watcher(clock::now()) {
             true => WATCHER_DELAY,
             false => {
@@ -44,11 +58,8 @@
                 READ_DELAY_MAX.mul_f64(spread)
             }
         };
-        tokio::time::sleep(delay).await;
-        for table in FleetTable::ALL {
-            let sources = take_sources(&context, table);
-            catch_up(&context, &*platform, table, &sources).await;
-        }
+        sleep(delay).await;
+        catch_up(&context, &*platform, table).await;
     }
 }
 
@@ -56,12 +67,7 @@
 /// hosts of a zone distribute their reads. If there is no such peer and the
 /// table was never read, returns the zone's likely watchers and the seeds.
 fn take_sources(context: &HostContext, table: FleetTable) -> Vec<NewerCopy> {
-    let mut sources = context
-        .peers
-        .newer_copies
-        .borrow_mut()
-        .remove(&table)
-        .unwrap_or_default();
+    let mut sources = context.peers.newer_copies(table).take();
     if sources.is_empty() && !context.tables.borrow().of(table).is_known {
         let hosts = context.hosts.borrow();
         sources.extend(hosts.likely_watchers().map(|row| NewerCopy {
@@ -81,23 +87,69 @@
     sources
 }
 
-/// Tries the store or one peer after another until the copy is current.
-async fn catch_up<P: Platform>(
+/// Reads from the store or from one peer after another until the copy is
+/// current. If a read takes too long, the next one begins beside it, also from
+/// peers that report in the meantime.
+async fn catch_up<P: Platform>(context: &HostContext, platform: &P, table: FleetTable) {
+    let newer_copies = context.peers.newer_copies(table);
+    let mut sources = VecDeque::from(take_sources(context, table));
+    let mut reads = FuturesUnordered::new();
+    // The sources of the reads that have not ended.
+    let mut pending: Vec<NewerCopy> = Vec::new();
+    let mut next_read = Instant::now();
+    loop {
+        sources.retain(|source| is_behind(context, table, source));
+        pending.retain(|source| is_behind(context, table, source));
+        if sources.is_empty() && pending.is_empty() {
+            // Dropping the remaining reads closes their connections.
+            return;
+        }
+        if (pending.is_empty() || Instant::now() >= next_read)
+            && let Some(source) = sources.pop_front()
+        {
+            let count = sources.len() + 1;
+            next_read = Instant::now() + next_read_delay(context, &source, count);
+            pending.push(source);
+            reads.push(async move {
+                read_change(context, platform, table, &source, count).await;
+                source.address
+            });
+        }
+        tokio::select! {
+            Some(address) = reads.next() => pending.retain(|source| source.address != address),
+            () = sleep_until(next_read), if !sources.is_empty() => {}
+            () = newer_copies.wait() => sources.extend(newer_copies.take()),
+        }
+    }
+}
+
+/// Time from the start of a read until the next one begins beside it.
+fn next_read_delay(context: &HostContext, source: &NewerCopy, sources: usize) -> Duration {
+    let readers = context.hosts.borrow().zone_rows().count();
+    let bytes = change_bytes(source);
+    let link_time = CopySource::link_time(bytes, readers, sources, source.link_mbps);
+    (NEXT_READ_DELAY + link_time).min(NEXT_READ_DELAY_MAX)
+}
+
+/// Size of a change on the network, in bytes.
+fn change_bytes(source: &NewerCopy) -> usize {
+    let bytes = source.summary.map_or(0, |summary| summary.changed_bytes);
+    bytes / peers::COPY_COMPRESSION
+}
+
+/// Reads a change from the store or from a peer.
+async fn read_change<P: Platform>(
     context: &HostContext,
     platform: &P,
     table: FleetTable,
-    sources: &[NewerCopy],
+    source: &NewerCopy,
+    sources: usize,
 ) {
-    for source in sources {
-        if !is_behind(context, table, source) {
-            return;
-        }
-        let is_from_store = prefers_store(context, source, sources.len());
-        if is_from_store && read_from_store(context, platform, table).await {
-            return;
-        }
-        read_from_peer(context, platform, table, source.address).await;
+    let is_from_store = prefers_store(context, source, sources);
+    if is_from_store && read_from_store(context, platform, table).await {
+        return;
     }
+    read_from_peer(context, platform, table, source.address).await;
 }
 
 /// Whether this host still lacks a change that the source has. It may have
@@ -115,9 +167,8 @@
 /// it.
 fn prefers_store(context: &HostContext, source: &NewerCopy, sources: usize) -> bool {
     let readers = context.hosts.borrow().zone_rows().count();
-    let bytes = source.summary.map_or(0, |summary| summary.changed_bytes);
-    let bytes = bytes / peers::COPY_COMPRESSION;
-    CopySource::select(bytes, readers, sources, source.link_mbps) == CopySource::Store
+    CopySource::select(change_bytes(source), readers, sources, source.link_mbps)
+        == CopySource::Store
 }
 
 /// Reads a change from the store. Returns whether that succeeded.
@@ -128,7 +179,7 @@
 ) -> bool {
     let after = context.tables.borrow().of(table).copy.version();
     let read = platform.watch_table(table, after, Duration::ZERO);
-    let error = match tokio::time::timeout(STORE_READ_TIMEOUT, read).await {
+    let error = match timeout(STORE_READ_TIMEOUT, read).await {
         Ok(Ok(delta)) => {
             apply(context, platform, table, delta, CopySource::Store);
             return true;
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -110,11 +110,12 @@
             Rc::clone(&platform),
             table,
         ));
+        spawn_local(follow::follow_peers(
+            Rc::clone(&context),
+            Rc::clone(&platform),
+            table,
+        ));
     }
-    spawn_local(follow::follow_peers(
-        Rc::clone(&context),
-        Rc::clone(&platform),
-    ));
     spawn_local(follow::remove_expired_servers(Rc::clone(&context)));
     spawn_local(write_own_row(Rc::clone(&context), Rc::clone(&platform)));
     spawn_local(peers::receive(Rc::clone(&context)));
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -44,6 +44,36 @@
     pub(crate) link_mbps: u32,
 }
 
+/// The peers that have a newer copy of one table than this host.
+#[derive(Default)]
+pub(crate) struct NewerCopies {
+    copies: RefCell<Vec<NewerCopy>>,
+    wake: tokio::sync::Notify,
+}
+
+impl NewerCopies {
+    /// Adds a peer, and wakes the task that reads from it.
+    pub(crate) fn push(&self, copy: NewerCopy) {
+        self.copies.borrow_mut().push(copy);
+        self.wake.notify_one();
+    }
+
+    /// Removes and returns all peers.
+    pub(crate) fn take(&self) -> Vec<NewerCopy> {
+        self.copies.take()
+    }
+
+    /// Makes the reading task look for peers, even if none was added.
+    pub(crate) fn wake(&self) {
+        self.wake.notify_one();
+    }
+
+    /// Waits for the next peer, or for [`NewerCopies::wake`].
+    pub(crate) async fn wait(&self) {
+        self.wake.notified().await;
+    }
+}
+
 /// The socket for datagrams, and the state of the exchange with peers.
 pub(crate) struct PeerSocket {
     socket: UdpSocket,
@@ -61,8 +91,7 @@
     /// The zone lists that were sent last.
     sent_lists: RefCell<Vec<ZoneList>>,
     /// Peers with a newer copy of each table, to be read from one of them.
-    pub(crate) newer_copies: RefCell<HashMap<FleetTable, Vec<NewerCopy>>>,
-    pub(crate) newer_copies_wake: tokio::sync::Notify,
+    newer_copies: [NewerCopies; FleetTable::ALL.len()],
 }
 
 impl PeerSocket {
@@ -77,11 +106,15 @@
             unsent: Cell::new(0),
             copy_frames: RefCell::default(),
             sent_lists: RefCell::default(),
-            newer_copies: RefCell::default(),
-            newer_copies_wake: tokio::sync::Notify::new(),
+            newer_copies: Default::default(),
         })
     }
 
+    /// The peers that have a newer copy of a table.
+    pub(crate) fn newer_copies(&self, table: FleetTable) -> &NewerCopies {
+        &self.newer_copies[table.index()]
+    }
+
     /// Sends a datagram. If the socket buffer is full, the datagram is dropped
     /// and counted, as a loss in the network would drop it.
     pub(crate) fn send(&self, bytes: &[u8], to: SocketAddr) {
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -111,7 +111,6 @@
         hosts.record_list(&report.host, list, now);
     }
     let mut tables = context.tables.borrow_mut();
-    let mut newer_copies = context.peers.newer_copies.borrow_mut();
     for summary in report.tables {
         let own = tables.of_mut(summary.table);
         if let Some(age_ms) = summary.age_ms {
@@ -134,13 +133,11 @@
         if let Some((address, link_mbps)) =
             source.filter(|_| own.is_older_than(&summary) || !own.is_known)
         {
-            let sources = newer_copies.entry(summary.table).or_default();
-            sources.push(NewerCopy {
+            context.peers.newer_copies(summary.table).push(NewerCopy {
                 address,
                 summary: Some(summary),
                 link_mbps,
             });
-            context.peers.newer_copies_wake.notify_one();
         }
     }
 }
--- a/crates/mangostep-policy/src/dispatch/copy_source.rs
+++ b/crates/mangostep-policy/src/dispatch/copy_source.rs
@@ -28,11 +28,17 @@
     /// read at the same time from `sources` hosts with links of `link_mbps`
     /// each.
     pub fn select(bytes: usize, readers: usize, sources: usize, link_mbps: u32) -> Self {
-        let bytes = bytes as f64 * readers as f64 / sources.max(1) as f64;
-        let bytes_per_s = f64::from(link_mbps) * 1e6 / 8.0;
-        match bytes <= bytes_per_s * LINK_TIME_MAX.as_secs_f64() {
+        match Self::link_time(bytes, readers, sources, link_mbps) <= LINK_TIME_MAX {
             true => CopySource::Host,
             false => CopySource::Store,
         }
     }
+
+    /// Estimated time for which such a change occupies the link of each of the
+    /// hosts that it is read from.
+    pub fn link_time(bytes: usize, readers: usize, sources: usize, link_mbps: u32) -> Duration {
+        let bytes = bytes as f64 * readers as f64 / sources.max(1) as f64;
+        let bytes_per_s = f64::from(link_mbps.max(1)) * 1e6 / 8.0;
+        Duration::try_from_secs_f64(bytes / bytes_per_s).unwrap_or(Duration::MAX)
+    }
 }
--- a/crates/standins/tests/servers/main.rs
+++ b/crates/standins/tests/servers/main.rs
@@ -9,7 +9,9 @@
 use {
     standins::{
         CallerConnection, RequestSpec,
-        entry_fleet::{EntryConfiguration, EntryFleet, EntryFleetSettings, EntryWorkspace},
+        entry_fleet::{
+            EntryConfiguration, EntryFleet, EntryFleetSettings, EntryHost, EntryWorkspace,
+        },
     },
     tokio::time::{Instant, sleep},
 };
@@ -53,7 +55,12 @@
 /// Sends idempotent requests to all hosts in turn for `span`, and returns the
 /// number that were answered with success.
 async fn send_requests(fleet: &EntryFleet, label: &str, span: Duration) -> usize {
-    let fronts: Vec<SocketAddr> = fleet.hosts.iter().map(|h| h.addresses().front).collect();
+    send_requests_to(&fleet.hosts, label, span).await
+}
+
+/// Sends such requests to some of the hosts.
+async fn send_requests_to(hosts: &[EntryHost], label: &str, span: Duration) -> usize {
+    let fronts: Vec<SocketAddr> = hosts.iter().map(|h| h.addresses().front).collect();
     let end = Instant::now() + span;
     let mut sent = Vec::new();
     while Instant::now() < end {
--- a/crates/standins/tests/servers/removals.rs
+++ b/crates/standins/tests/servers/removals.rs
@@ -6,13 +6,14 @@
 use {
     standins::{
         StoreMode,
-        entry_fleet::{EntryFleet, EntryFleetSettings, EntryServerGroup},
+        entry_fleet::{EntryFleet, EntryFleetSettings, EntryHost, EntryServerGroup},
+        fleet::ProcessSignal,
         proxy::{ConnectMode, LinkRule, ProxyCommand},
     },
     tokio::time::{Instant, sleep},
 };
 
-use crate::{CONTACT_TIME, DRAIN_LIMIT, open_fleet_with, send_requests};
+use crate::{CONTACT_TIME, DRAIN_LIMIT, open_fleet_with, send_requests, send_requests_to};
 
 /// Time from the return of the store until the entries of all live servers are
 /// back.
@@ -59,16 +60,21 @@
     store.run(ProxyCommand::Rule { source: None, rule });
 }
 
+/// Resets all connections between a host and the store.
+fn refuse_store(fleet: &EntryFleet, host: usize) {
+    let mut refused = LinkRule::CUT_BOTH;
+    refused.connect = ConnectMode::Refuse;
+    set_store_rule(fleet, host, refused);
+    let reset = ProxyCommand::Reset { source: None };
+    fleet.hosts[host].store().run(reset);
+}
+
 /// A host whose calls to the store had failed, while its peers reached the
 /// store, used servers for 2.2 s or longer after it had read that they left.
 #[tokio::test(flavor = "multi_thread")]
 async fn host_that_the_store_refused_uses_no_server_that_left() {
     let fleet = open_busy_fleet(1).await;
-    let mut refused = LinkRule::CUT_BOTH;
-    refused.connect = ConnectMode::Refuse;
-    set_store_rule(&fleet, 0, refused);
-    let reset = ProxyCommand::Reset { source: None };
-    fleet.hosts[0].store().run(reset);
+    refuse_store(&fleet, 0);
     sleep(Duration::from_millis(2_000)).await;
     set_store_rule(&fleet, 0, LinkRule::default());
     let connected = Instant::now();
@@ -112,6 +118,45 @@
     fleet.close();
 }
 
+/// A host read changes from one peer after another, and waited 1.2 s for each
+/// that had frozen after its report.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_left_gets_no_requests_beside_hosts_that_froze() {
+    let settings = EntryFleetSettings {
+        hosts_per_zone: 3,
+        ..Default::default()
+    };
+    let fleet = open_fleet_with(settings).await;
+    refuse_store(&fleet, 0);
+    sleep(CONTACT_TIME).await;
+    let left = remove_entries(&fleet, 1);
+    let removed = Instant::now();
+    let (reader, peers) = fleet.hosts.split_first().expect("has hosts");
+    let has_read = |host: &EntryHost| {
+        let log = host.log_text();
+        let mut lines = log.lines();
+        lines.any(|line| line.contains("server entry removed") && line.contains(&left[0]))
+    };
+    // All but one of the peers freeze once they have reported the removal.
+    while !peers.iter().all(has_read) && removed.elapsed() < Duration::from_millis(100) {
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(40)).await;
+    let (frozen, _) = peers.split_at(peers.len() - 1);
+    for host in frozen {
+        host.signal(ProcessSignal::Stop);
+    }
+    assert!(!has_read(reader), "the reader waits for its own read");
+    let span = Duration::from_secs(5);
+    send_requests_to(std::slice::from_ref(reader), "after", span).await;
+    for host in frozen {
+        host.signal(ProcessSignal::Continue);
+    }
+    let late = late_arrivals(&fleet, &left, removed + DRAIN_LIMIT);
+    assert_eq!(late, 0, "requests later than {DRAIN_LIMIT:?}");
+    fleet.close();
+}
+
 /// Entries of live servers lapse while the store is away: the servers are used
 /// until they have had the time to write their entries again, and no longer.
 #[tokio::test(flavor = "multi_thread")]
