Remember that a server leaves even if its entry was removed before

A host dropped the statement of a server that it no longer had in its pool, for example because the entry had lapsed while the answer was on its way. When the entry returned, the host used the server again, without limit in time.

leaving_servers: statement_of_a_removed_server_holds_when_its_entry_returns fails without the change and passes with it.

--- a/crates/mangostep-entry/src/statements.rs
+++ b/crates/mangostep-entry/src/statements.rs
@@ -48,7 +48,7 @@
         info!(context.log, "server wait"; "server" => &server.id,
             "wait_ms" => wait.as_millis() as u64);
     }
-    if pool.record_own_statement(key, statement, now) {
+    if pool.record_own_statement(key, server, statement, now) {
         drop(pool);
         log_change(context, &server.id, statement, &context.settings.host);
         peers::send_statement(context, server, statement);
--- a/crates/mangostep-policy/src/dispatch/server_pool/statements.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/statements.rs
@@ -31,36 +31,35 @@
     }
 
     /// Records what a server stated in a response to this host. Returns whether
-    /// that differs from its latest statement.
+    /// that differs from its latest statement. A server that leaves is
+    /// remembered even if its entry was removed before the response arrived:
+    /// the entry may return.
     pub fn record_own_statement(
         &mut self,
         key: ServerKey,
+        server: &ServerEntry,
         statement: ServerStatement,
         now: MonotonicTime,
     ) -> bool {
-        let Some(record) = self.servers.get_mut(key) else {
-            return false;
-        };
-        let has_changed = record.statements.record(statement, now, true, now);
-        let (id, started_ms) = (record.entry.id.clone(), record.entry.started_ms);
-        if statement.is_leaving && has_changed {
-            self.record_leaving(id, started_ms, now, now);
+        if statement.is_leaving {
+            self.record_leaving(&server.id, server.started_ms, now, now);
         }
-        has_changed
+        let record = self.servers.get_mut(key);
+        record.is_some_and(|record| record.statements.record(statement, now, true, now))
     }
 
     /// Records that a server leaves, and forgets those that stated so long ago
     /// that their processes have ended.
-    pub(super) fn record_leaving(
+    fn record_leaving(
         &mut self,
-        id: String,
+        id: &str,
         started_ms: u64,
         stated: MonotonicTime,
         now: MonotonicTime,
     ) {
         self.leaving
             .retain(|_, (_, stated)| now.since(*stated) < LEAVING_MEMORY);
-        self.leaving.insert(id, (started_ms, stated));
+        self.leaving.insert(id.to_owned(), (started_ms, stated));
     }
 
     /// Records that a server shed a request of this host and stated for how
@@ -77,7 +76,7 @@
     pub fn record_peer_statement(&mut self, report: &StatementReport, now: MonotonicTime) -> bool {
         let stated = now - Duration::from_millis(report.age_ms.into());
         if report.statement.is_leaving && !self.leaving.contains_key(&report.server) {
-            self.record_leaving(report.server.clone(), report.started_ms, stated, now);
+            self.record_leaving(&report.server, report.started_ms, stated, now);
         }
         let key = self.by_id.get(&report.server).copied();
         let Some(record) = key.and_then(|key| self.servers.get_mut(key)) else {
--- a/crates/mangostep-policy/tests/dispatch/leaving_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/leaving_servers.rs
@@ -51,8 +51,8 @@
 fn leaving_server_gets_no_requests_until_its_process_ends() {
     let mut pool = pool(2);
     let key = pool.find("s0").expect("known");
-    assert!(pool.record_own_statement(key, LEAVING, at_ms(10)));
-    pool.record_own_statement(key, ServerStatement::default(), at_ms(20));
+    assert!(pool.record_own_statement(key, &server(0), LEAVING, at_ms(10)));
+    pool.record_own_statement(key, &server(0), ServerStatement::default(), at_ms(20));
     pool.put(&server(0), Duration::ZERO, at_ms(30));
     for now_ms in 30..500 {
         let other = pool.find("s1").expect("known");
@@ -72,12 +72,24 @@
 fn leaving_server_stays_away_after_its_entry_returns() {
     let mut pool = pool(2);
     let key = pool.find("s0").expect("known");
-    pool.record_own_statement(key, LEAVING, at_ms(10));
+    pool.record_own_statement(key, &server(0), LEAVING, at_ms(10));
     pool.remove("s0");
     let key = pool.put(&server(0), Duration::ZERO, at_ms(5_000));
     assert!(!pool.accepts_work(key, at_ms(6_000)));
 }
 
+/// The answer with the statement arrived after the entry had lapsed, and the
+/// server was used again once its entry returned.
+#[test]
+fn statement_of_a_removed_server_holds_when_its_entry_returns() {
+    let mut pool = pool(2);
+    let key = pool.find("s0").expect("known");
+    pool.remove("s0");
+    pool.record_own_statement(key, &server(0), LEAVING, at_ms(10));
+    let key = pool.put(&server(0), Duration::ZERO, at_ms(1_000));
+    assert!(!pool.accepts_work(key, at_ms(1_000)));
+}
+
 /// A restarted host hears from its peers before it has read the entries.
 #[test]
 fn report_about_an_unknown_server_holds_when_its_entry_arrives() {
@@ -101,7 +113,7 @@
         rate_limit_per_s: Some(2.0),
         is_leaving: false,
     };
-    pool.record_own_statement(key, limited, at_ms(1_000));
+    pool.record_own_statement(key, &server(0), limited, at_ms(1_000));
     assert!(pool.record_peer_statement(&report(0, 500), at_ms(1_100)));
     assert!(!pool.accepts_work(key, at_ms(6_000)));
     assert!(pool.rate_limit(key).is_some(), "the newer limit stays");
--- a/crates/mangostep-policy/tests/dispatch/limited_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/limited_servers.rs
@@ -141,7 +141,7 @@
             rate_limit_per_s: self.limits.get(&entry.id).copied(),
             ..Default::default()
         };
-        if pool.record_own_statement(key, statement, now) {
+        if pool.record_own_statement(key, &server(0), statement, now) {
             let report = StatementReport {
                 server: entry.id,
                 started_ms: entry.started_ms,
@@ -262,7 +262,7 @@
         rate_limit_per_s: Some(1.0),
         ..Default::default()
     };
-    assert!(pool.record_own_statement(key, statement, at_ms(1)));
+    assert!(pool.record_own_statement(key, &server(0), statement, at_ms(1)));
     let restarted = mangostep_policy::ServerEntry {
         started_ms: server(0).started_ms + 1,
         ..server(0)
@@ -288,8 +288,8 @@
         rate_limit_per_s: limit,
         ..Default::default()
     };
-    pool.record_own_statement(key, statement(Some(1.0)), at_ms(1_000));
-    pool.record_own_statement(key, statement(None), at_ms(2_000));
+    pool.record_own_statement(key, &server(0), statement(Some(1.0)), at_ms(1_000));
+    pool.record_own_statement(key, &server(0), statement(None), at_ms(2_000));
     let old = StatementReport {
         server: server(0).id,
         started_ms: server(0).started_ms,
--- a/crates/mangostep-policy/tests/dispatch/table_copy.rs
+++ b/crates/mangostep-policy/tests/dispatch/table_copy.rs
@@ -6,8 +6,6 @@
     mangostep_testing::seeded,
 };
 
-use crate::at_ms;
-
 /// Writes to a table, and the order in which two hosts read them.
 #[derive(Clone, Debug, TypeGenerator)]
 struct TableHistory {
