Remember the latest process of an id that leaves

Of two processes with one id that left one after the other, a host that heard only from its peers remembered the first.

leaving_servers: later_process_of_the_same_id_that_leaves_is_remembered fails without the change and passes with it.

--- a/crates/mangostep-policy/src/dispatch/server_pool/statements.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/statements.rs
@@ -48,8 +48,9 @@
         record.is_some_and(|record| record.statements.record(statement, now, true, now))
     }
 
-    /// Records that a server leaves, and forgets those that stated so long ago
-    /// that their processes have ended.
+    /// Records that a server leaves, unless that is known or a later process of
+    /// the same id leaves too. Forgets servers that stated so long ago that
+    /// their processes have ended.
     fn record_leaving(
         &mut self,
         id: &str,
@@ -57,6 +58,13 @@
         stated: MonotonicTime,
         now: MonotonicTime,
     ) {
+        let is_known = self
+            .leaving
+            .get(id)
+            .is_some_and(|(known_start, known)| *known_start == started_ms || *known >= stated);
+        if is_known {
+            return;
+        }
         self.leaving
             .retain(|_, (_, stated)| now.since(*stated) < LEAVING_MEMORY);
         self.leaving.insert(id.to_owned(), (started_ms, stated));
@@ -75,7 +83,7 @@
     /// that is newer than its latest statement and differs from it.
     pub fn record_peer_statement(&mut self, report: &StatementReport, now: MonotonicTime) -> bool {
         let stated = now - Duration::from_millis(report.age_ms.into());
-        if report.statement.is_leaving && !self.leaving.contains_key(&report.server) {
+        if report.statement.is_leaving {
             self.record_leaving(&report.server, report.started_ms, stated, now);
         }
         let key = self.by_id.get(&report.server).copied();
--- a/crates/mangostep-policy/tests/dispatch/leaving_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/leaving_servers.rs
@@ -90,6 +90,31 @@
     assert!(!pool.accepts_work(key, at_ms(1_000)));
 }
 
+/// Two processes with the same id left one after the other. A host that heard
+/// only from peers remembered the first, and used the second once its entry
+/// had lapsed and returned.
+#[test]
+fn later_process_of_the_same_id_that_leaves_is_remembered() {
+    let mut pool = pool(0);
+    pool.record_peer_statement(&report(0, 0), at_ms(1_000));
+    let restarted = ServerEntry {
+        started_ms: server(0).started_ms + 1,
+        ..server(0)
+    };
+    let second = StatementReport {
+        started_ms: restarted.started_ms,
+        ..report(0, 0)
+    };
+    let key = pool.put(&restarted, Duration::ZERO, at_ms(2_000));
+    assert!(pool.accepts_work(key, at_ms(2_000)));
+    pool.record_peer_statement(&second, at_ms(3_000));
+    // A late report about the first process changes nothing.
+    pool.record_peer_statement(&report(0, 2_500), at_ms(3_100));
+    pool.remove("s0");
+    let key = pool.put(&restarted, Duration::ZERO, at_ms(4_000));
+    assert!(!pool.accepts_work(key, at_ms(4_000)));
+}
+
 /// A restarted host hears from its peers before it has read the entries.
 #[test]
 fn report_about_an_unknown_server_holds_when_its_entry_arrives() {
