--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -224,6 +224,14 @@
                 self.records.note(Incident::Left(id));
                 span += HANDOVER_TIME;
             }
+            SoakFault::RemoveServers(servers) => {
+                for server in servers.clone() {
+                    let id = self.fleet.servers[server].id.clone();
+                    self.fleet.remove_entry(&id);
+                    self.records.note(Incident::Left(id));
+                }
+                span += HANDOVER_TIME;
+            }
             SoakFault::RevokeKey(workspace) => {
                 self.revoke(*workspace);
                 span = HANDOVER_TIME;
@@ -301,13 +309,12 @@
             }
             SoakFault::CrashServer(server)
             | SoakFault::DrainServer(server)
-            | SoakFault::StateLeaving(server) => {
-                let id = self.fleet.servers[server].id.clone();
-                self.fleet.stop_server(server);
-                self.fleet.remove_entry(&id);
-                self.records.note(Incident::Left(id));
-                self.statements[server] = BackendStatement::default();
-                self.fleet.start_server(server).await
+            | SoakFault::StateLeaving(server) => self.replace_server(server).await,
+            SoakFault::RemoveServers(servers) => {
+                for server in servers {
+                    self.replace_server(server).await?;
+                }
+                Ok(())
             }
             SoakFault::RevokeKey(workspace) => {
                 let workspace = &self.configuration.workspaces[workspace];
@@ -335,6 +342,15 @@
         self.fleet.set_statement(server, statement.clone());
     }
 
+    async fn replace_server(&mut self, server: usize) -> Result<(), StandinError> {
+        let id = self.fleet.servers[server].id.clone();
+        self.fleet.stop_server(server);
+        self.fleet.remove_entry(&id);
+        self.records.note(Incident::Left(id));
+        self.statements[server] = BackendStatement::default();
+        self.fleet.start_server(server).await
+    }
+
     fn kill(&mut self, host: usize) {
         self.record_host_disturbance(host);
         self.fleet.hosts[host].signal(ProcessSignal::Kill);
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
 
@@ -51,6 +51,9 @@
     CrashServer(usize),
     /// A backend server is set to draining, removed and replaced.
     DrainServer(usize),
+    /// The entries of servers with consecutive numbers are removed at once,
+    /// without a notice; the servers serve on until they are replaced.
+    RemoveServers(Range<usize>),
     /// A workspace's key is revoked and replaced by a new one.
     RevokeKey(usize),
     /// A number of routes is added to the configuration.
@@ -71,6 +74,7 @@
 pub(crate) fn draw_events(settings: &SoakSettings) -> Vec<SoakEvent> {
     let mut random = SmallRng::seed_from_u64(settings.seed);
     let mut events = draw_planned_operations(settings, &mut random);
+    events.extend(draw_removals(settings));
     let mut at = Duration::ZERO;
     loop {
         // Faults come in bursts: 30 % follow the previous one within 80 ms.
@@ -110,6 +114,23 @@
     events.collect()
 }
 
+/// Draws removals of servers. They have a random source of their own, so that
+/// the other faults of a seed stay the same.
+fn draw_removals(settings: &SoakSettings) -> Vec<SoakEvent> {
+    let mut random = SmallRng::seed_from_u64(!settings.seed);
+    let servers = settings.servers_per_zone * 3;
+    let events = (0..2).map(|_| {
+        let count = random.random_range(1..servers.div_ceil(2) + 1);
+        let first = random.random_range(0..servers - count + 1);
+        SoakEvent {
+            at: settings.duration.mul_f64(random.random_range(0.0..1.0)),
+            span: Duration::from_millis(random.random_range(1_000..3_500)),
+            fault: SoakFault::RemoveServers(first..first + count),
+        }
+    });
+    events.collect()
+}
+
 fn draw_fault(settings: &SoakSettings, random: &mut impl Rng) -> SoakFault {
     let hosts = settings.hosts_per_zone * 3;
     let servers = (settings.servers_per_zone + settings.servers_per_zone.div_ceil(2)) * 3;
