Wait for servers and callers that read late

A request of more than 16 KiB now bounds its send by its own time, and the write to a caller by its timeout of 10 s. Shorter requests fit into the buffers of a server that does not read, where only a lost peer leaves data unacknowledged.

entry: odd_servers::server_that_reads_a_long_body_late_is_waited_for fails without the change and passes with it.

--- a/crates/mangostep-entry/src/back/attempt.rs
+++ b/crates/mangostep-entry/src/back/attempt.rs
@@ -99,6 +99,10 @@
             }
         }
     };
+    let time_left = request.deadline.saturating_duration_since(Instant::now());
+    if let Err(err) = connection.prepare(request.bytes.len(), time_left) {
+        return AttemptOutcome::Unsent(err);
+    }
     let idle = connection
         .last_used
         .map(|last_used| clock::now().since(last_used));
--- a/crates/mangostep-entry/src/back/connection.rs
+++ b/crates/mangostep-entry/src/back/connection.rs
@@ -17,6 +17,11 @@
 /// closed, so that unresponsive connections are detected.
 const USER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Size of a request, in bytes, up to which a server's buffers hold it even if
+/// the server does not read. The kernel takes a server that does not read a
+/// longer one for unresponsive.
+const BUFFERED_REQUEST_BYTES_MAX: usize = 16 << 10;
+
 /// Idle time before the first keep-alive probe, and the interval between
 /// probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -25,11 +30,12 @@
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Sets the options of a connection so that an unresponsive peer is detected
-/// within seconds.
-pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
+/// within seconds; while data waits for a peer that does not read, only after
+/// `user_timeout`.
+pub(crate) fn configure_socket(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(user_timeout))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
@@ -47,6 +53,8 @@
     /// Time for which the server keeps the connection open without a request,
     /// if announced.
     pub(crate) idle_limit: Option<Duration>,
+    /// `TCP_USER_TIMEOUT` of the socket.
+    user_timeout: Duration,
 }
 
 impl ServerConnection {
@@ -55,15 +63,29 @@
         let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        configure_socket(&stream)?;
+        configure_socket(&stream, USER_TIMEOUT)?;
         Ok(ServerConnection {
             stream,
             buffer: BytesMut::new(),
             last_used: None,
             idle_limit: None,
+            user_timeout: USER_TIMEOUT,
         })
     }
 
+    /// Prepares the connection for a request. A server may read a long one late
+    /// while it is at work, so that only the request's own time bounds the send.
+    pub(crate) fn prepare(&mut self, request_bytes: usize, time_left: Duration) -> io::Result<()> {
+        let timeout = match request_bytes > BUFFERED_REQUEST_BYTES_MAX {
+            true => time_left.max(USER_TIMEOUT),
+            false => USER_TIMEOUT,
+        };
+        if std::mem::replace(&mut self.user_timeout, timeout) == timeout {
+            return Ok(());
+        }
+        SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout))
+    }
+
     /// Whether the idle connection is still open and has no unread bytes.
     pub(crate) fn is_open_and_idle(&self) -> bool {
         let mut byte = [0];
--- a/crates/mangostep-entry/src/front/connection.rs
+++ b/crates/mangostep-entry/src/front/connection.rs
@@ -64,7 +64,7 @@
 
 /// Serves the requests of a connection, and returns the responses in order.
 pub(crate) async fn serve_connection(context: Rc<HostContext>, stream: TcpStream) {
-    if crate::back::configure_socket(&stream).is_err() {
+    if crate::back::configure_socket(&stream, WRITE_TIMEOUT).is_err() {
         return;
     }
     let limits = context
--- a/crates/mangostep/tests/entry/odd_servers.rs
+++ b/crates/mangostep/tests/entry/odd_servers.rs
@@ -1,4 +1,5 @@
-//! Servers that answer before they have read a long request, or crash.
+//! Servers that answer before they have read a long request, crash, or read it
+//! late.
 
 use std::{io, net::SocketAddr, time::Duration};
 
@@ -28,6 +29,8 @@
     /// Sends an answer without a length and closes the connection, without
     /// reading the rest of the request.
     ClosesEarly,
+    /// Reads the rest of the request after a time, and answers then.
+    ReadsLate(Duration),
 }
 
 impl OddServer {
@@ -79,6 +82,13 @@
                 sleep(TEST_TIMEOUT).await;
                 Ok(())
             }
+            OddServer::ReadsLate(wait) => {
+                sleep(wait).await;
+                read_body(&mut stream).await?;
+                let length = ANSWER_BODY.len();
+                let text = format!("{start}content-length: {length}\r\n\r\n{ANSWER_BODY}");
+                stream.write_all(text.as_bytes()).await
+            }
         }
     }
 }
@@ -153,3 +163,13 @@
     assert!(answer.ends_with(ANSWER_BODY), "{answer}");
     fixture.close();
 }
+
+/// A host ended the connection to a server that had not read from it for 0.9 s,
+/// although the server was at work and read the rest of the body later.
+#[tokio::test]
+async fn server_that_reads_a_long_body_late_is_waited_for() {
+    let fixture = open_with(OddServer::ReadsLate(Duration::from_millis(2_000))).await;
+    let answer = upload(&fixture, "late").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    fixture.close();
+}
