--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -15,7 +15,7 @@
 
 /// A copy of a table before a delta is applied to it.
 #[derive(Clone, Copy)]
-struct CopyProgress {
+struct EarlierCopy {
     /// Whether the table was never read before.
     is_first_read: bool,
     /// Number of rows.
@@ -36,10 +36,10 @@
     source: CopySource,
 ) {
     let now = clock::now();
-    let (version, changed, progress) = {
+    let (version, changed, copy) = {
         let mut tables = context.tables.borrow_mut();
         let state = tables.of_mut(table);
-        let progress = CopyProgress {
+        let copy = EarlierCopy {
             is_first_read: !state.is_known,
             total: state.copy.rows().count(),
             age: state.confirmed.map(|confirmed| now.since(confirmed)),
@@ -67,7 +67,7 @@
             .iter()
             .map(|row| row.value.as_ref().map_or(0, Vec::len));
         state.changed_bytes = sizes.sum();
-        (version, changed, progress)
+        (version, changed, copy)
     };
     if !changed.is_empty() {
         info!(context.log, "table changed"; "table" => table.as_str(), "source" => source.as_str(),
@@ -75,13 +75,13 @@
     }
     match table {
         FleetTable::Operator => apply_operator(context, platform, &changed),
-        FleetTable::Servers => apply_servers(context, platform, &changed, progress),
+        FleetTable::Servers => apply_servers(context, platform, &changed, copy),
         FleetTable::Hosts => apply_hosts(context, &changed),
     }
-    if !changed.is_empty() || progress.is_first_read {
+    if !changed.is_empty() || copy.is_first_read {
         let digest = digest_of(context, platform, table);
         context.tables.borrow_mut().of_mut(table).digest = digest;
-        if table == FleetTable::Hosts && progress.is_first_read {
+        if table == FleetTable::Hosts && copy.is_first_read {
             // The hosts that probably have the other tables are now known.
             for other in FleetTable::ALL {
                 context.peers.newer_copies(other).wake();
@@ -194,12 +194,12 @@
     context: &HostContext,
     platform: &P,
     changed: &[TableRow],
-    progress: CopyProgress,
+    copy: EarlierCopy,
 ) {
     let now = clock::now();
     let removed = changed.iter().filter(|row| row.value.is_none()).count();
     let held_until = context.lapse.borrow().hold_until(now);
-    let joining_cold = match progress.is_first_read {
+    let joining_cold = match copy.is_first_read {
         true => Duration::ZERO,
         false => longest_cold_ramp(context),
     };
@@ -210,7 +210,7 @@
                 Some(until) => pool.hold(&row.key, until),
                 None => drop(pool.remove(&row.key)),
             }
-            log_removal(context, row, held_until, removed, progress);
+            log_removal(context, row, held_until, removed, copy);
             continue;
         };
         match platform.decode_server_row(&row.key, value) {
@@ -237,7 +237,7 @@
     row: &TableRow,
     held_until: Option<MonotonicTime>,
     removed: usize,
-    progress: CopyProgress,
+    copy: EarlierCopy,
 ) {
     let millis = |span: Duration| span.as_millis() as u64;
     let now = clock::now();
@@ -248,9 +248,9 @@
         .count("server-entry-removed", &[("held", label)]);
     info!(context.log, "server entry removed"; "server" => &row.key,
         "version" => row.version, "held" => held.is_some(), "held_ms" => held.map(millis),
-        "removed" => removed, "of" => progress.total,
-        "contact_age_ms" => progress.contact_age.map(millis),
-        "copy_age_ms" => progress.age.map(millis));
+        "removed" => removed, "of" => copy.total,
+        "contact_age_ms" => copy.contact_age.map(millis),
+        "copy_age_ms" => copy.age.map(millis));
 }
 
 fn apply_hosts(context: &HostContext, changed: &[TableRow]) {
--- a/crates/mangostep-entry/src/follow/store.rs
+++ b/crates/mangostep-entry/src/follow/store.rs
@@ -209,10 +209,11 @@
 
     /// Waits for changes after a version. The first call after a failure or a
     /// restart returns at once, so that peers learn soon that the store
-    /// answers. Returns `None` if the call must be
-    /// given up: this host became the lead watcher, its call may be on a silent
-    /// connection, and no other watcher would notice; or the whole table must
-    /// be read.
+    /// answers.
+    ///
+    /// Returns `None` if the call must be given up: this host became the lead
+    /// watcher, its call may be on a silent connection, and no other watcher
+    /// would notice; or the whole table must be read.
     async fn watch(&mut self, after: u64) -> Option<Result<TableDelta, StoreError>> {
         let verifies = std::mem::take(&mut self.verifies_next);
         if verifies || self.is_lead() {
