Log whether a request went to a server known to be cold

The logs of a host could not tell a request to a server whose cold start the host did not know of from one within the rate that a cold server handles. The line of a request now has the number of sends to servers known to be cold, and the age of what the host knew of the servers; a counter counts sends by it.

--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -51,6 +51,11 @@
     /// The limit home that denied a token, or `alone` if this host denied it
     /// without a limit home.
     pub(crate) home: String,
+    /// Number of sends to servers that this host knew to be in cold start.
+    pub(crate) cold_sends: u32,
+    /// Time since the backend servers' entries were last known to be current,
+    /// at the last send.
+    pub(crate) entries_age: Option<Duration>,
 }
 
 impl RequestTrace {
@@ -247,6 +252,8 @@
         "limited" => trace.limited.clone(),
         "home" => trace.home.clone(),
         "chance" => (trace.chance * 1000.0).round() / 1000.0,
+        "cold_sends" => trace.cold_sends,
+        "entries_age_ms" => trace.entries_age.map(|age| age.as_millis() as u64),
         "ms" => request.arrived.elapsed().as_millis() as u64,
     );
     // The line budget of the log reserves a share for warnings.
--- a/crates/mangostep-entry/src/forward/sender.rs
+++ b/crates/mangostep-entry/src/forward/sender.rs
@@ -22,6 +22,7 @@
         request::{ForwardRequest, PlannedRequest, RequestTrace, is_idempotent},
     },
     peers,
+    platform::FleetTable,
     prelude::*,
     statements::record_own_statement,
 };
@@ -143,7 +144,7 @@
             }
             self.tried.push(key);
             trace.record_send(&entry.id);
-            trace.chance = self.context.pool.borrow().failure_chance(key, clock::now());
+            self.trace_server(key, trace);
             let outcome = self.send_with_hedge(key, &entry, trace).await;
             let is_out_of_time = Instant::now() + RESPONSE_MARGIN >= self.planned.deadline;
             match outcome {
@@ -249,6 +250,24 @@
         false
     }
 
+    /// Records what this host knows of the server that a request is sent to.
+    fn trace_server(&self, key: ServerKey, trace: &mut RequestTrace) {
+        let now = clock::now();
+        let pool = self.context.pool.borrow();
+        trace.chance = pool.failure_chance(key, now);
+        let is_cold = pool.is_cold(key, now);
+        if is_cold {
+            trace.cold_sends += 1;
+        }
+        let label = if is_cold { "true" } else { "false" };
+        self.context
+            .counters
+            .count("server-request", &[("cold", label)]);
+        let tables = self.context.tables.borrow();
+        let confirmed = tables.of(FleetTable::Servers).confirmed;
+        trace.entries_age = confirmed.map(|confirmed| now.since(confirmed));
+    }
+
     fn take_retry(&self) -> bool {
         let now = clock::now();
         let share = self.context.hosts.borrow().own_share(now);
--- a/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
@@ -245,6 +245,13 @@
         })
     }
 
+    /// Whether a server is in cold start, as far as this host knows.
+    pub fn is_cold(&self, key: ServerKey, now: MonotonicTime) -> bool {
+        self.servers
+            .get(key)
+            .is_some_and(|record| record.cold_until > now)
+    }
+
     /// Returns the entries of all servers, including draining ones.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
         self.servers.values().map(|record| &record.entry)
