--- a/crates/standins/src/entry_fleet/configuration.rs
+++ b/crates/standins/src/entry_fleet/configuration.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use serde_json::{Value, json};
 
 /// A workspace of an [`EntryConfiguration`].
@@ -25,6 +27,10 @@
     pub workspaces: Vec<EntryWorkspace>,
     /// Number of additional routes to the first service.
     pub extra_routes: usize,
+    /// Requests per second that a backend server can handle in cold start.
+    pub cold_rate_per_s: Option<f64>,
+    /// Duration of a cold start.
+    pub cold_time: Duration,
 }
 
 impl Default for EntryConfiguration {
@@ -38,6 +44,8 @@
                 burst: 1_000.0,
             }],
             extra_routes: 0,
+            cold_rate_per_s: None,
+            cold_time: Duration::from_secs(3),
         }
     }
 }
@@ -59,9 +67,10 @@
             let name = format!("further-{number}");
             routes.push(route(name, "idempotent", services[0]));
         }
-        let services = services
-            .iter()
-            .map(|name| json!({ "name": name, "healthCheckPath": "/health" }));
+        let services = services.iter().map(|name| {
+            json!({ "name": name, "healthCheckPath": "/health",
+                "warmupS": self.cold_time.as_secs_f64(), "warmupPerS": self.cold_rate_per_s })
+        });
         let tenants = self.workspaces.iter().map(|workspace| {
             json!({ "name": workspace.name, "apiKeys": workspace.keys,
                 "ratePerS": workspace.rate_per_s, "burst": workspace.burst })
--- a/crates/standins/src/entry_fleet/mod.rs
+++ b/crates/standins/src/entry_fleet/mod.rs
@@ -236,6 +236,25 @@
         let server = &mut self.servers[index];
         server.starts += 1;
         server.id = format!("i-{index}-{}", server.starts);
+        self.open_backend(index).await?;
+        self.write_entry(index, "ready");
+        Ok(())
+    }
+
+    /// Starts a backend server that was stopped again under its id, in cold
+    /// start. The store does not learn of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn restart_cold(&mut self, index: usize, span: Duration) -> Result<(), StandinError> {
+        self.open_backend(index).await?;
+        self.turn_cold(index, span);
+        Ok(())
+    }
+
+    async fn open_backend(&mut self, index: usize) -> Result<(), StandinError> {
+        let server = &mut self.servers[index];
         let settings = SignedBackendSettings {
             id: server.id.clone(),
             service: server.service.clone(),
@@ -253,10 +272,17 @@
         let target = crate::proxy::ProxyCommand::Target(backend.address());
         server.proxy.run(target);
         server.backend = Some(backend);
-        self.write_entry(index, "ready");
         Ok(())
     }
 
+    /// Puts a backend server into cold start; does nothing while it is down. Its
+    /// entry in the store stays as it is.
+    pub fn turn_cold(&self, index: usize, span: Duration) {
+        if let Some(backend) = &self.servers[index].backend {
+            backend.turn_cold(span);
+        }
+    }
+
     /// Ends a backend server like a crash: its entry stays in the store.
     pub fn stop_server(&mut self, index: usize) {
         if let Some(backend) = self.servers[index].backend.take() {
@@ -283,11 +309,17 @@
     /// Writes the entry of a backend server to the store, with a state such as
     /// `ready` or `draining`.
     pub fn write_entry(&self, index: usize, state: &str) {
+        self.write_cold_entry(index, state, Duration::ZERO);
+    }
+
+    /// Writes the entry of a backend server with the time that is left of its
+    /// cold start.
+    pub fn write_cold_entry(&self, index: usize, state: &str, cold_left: Duration) {
         let server = &self.servers[index];
         let entry = json!({
             "service": server.service, "address": server.address, "zone": server.zone,
-            "version": "v1", "slots": 4, "state": state, "warmupLeftS": 0,
-            "born": server.starts,
+            "version": "v1", "slots": 4, "state": state,
+            "warmupLeftS": cold_left.as_secs_f64(), "born": server.starts,
         });
         let text = entry.to_string();
         self.store.put("servers", &server.id, Some(text.as_bytes()));
--- a/crates/standins/src/signed_backend.rs
+++ b/crates/standins/src/signed_backend.rs
@@ -153,6 +153,7 @@
 pub struct BackendLog {
     arrivals: Arc<Mutex<Vec<BackendArrival>>>,
     abandoned: Arc<AtomicUsize>,
+    health_checks: Arc<AtomicUsize>,
 }
 
 impl BackendLog {
@@ -161,6 +162,11 @@
         self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Number of health checks that reached the servers.
+    pub fn health_checks(&self) -> usize {
+        self.health_checks.load(Ordering::Relaxed)
+    }
+
     /// Number of requests whose connection was closed by the caller while a slow
     /// or hanging server held them.
     pub fn abandoned(&self) -> usize {
@@ -195,6 +201,9 @@
     }
 }
 
+/// Path at which backend servers answer health checks.
+const HEALTH_PATH: &str = "/health";
+
 /// Size of one write of an answer without end, in bytes.
 const ENDLESS_BLOCK_BYTES: usize = 16 << 10;
 
@@ -211,6 +220,7 @@
     settings: SignedBackendSettings,
     log: BackendLog,
     statement: Mutex<BackendStatement>,
+    cold_until: Mutex<Option<Instant>>,
     random: Mutex<SmallRng>,
     connections: Mutex<Vec<JoinHandle<()>>>,
 }
@@ -232,6 +242,7 @@
         let shared = Arc::new(BackendShared {
             random: SmallRng::seed_from_u64(settings.seed).into(),
             statement: Mutex::default(),
+            cold_until: Mutex::default(),
             connections: Mutex::default(),
             settings,
             log,
@@ -265,6 +276,12 @@
         *lock(&self.shared.statement) = statement;
     }
 
+    /// Puts the server into cold start for `span`, which its health answers
+    /// state.
+    pub fn turn_cold(&self, span: Duration) {
+        *lock(&self.shared.cold_until) = Some(Instant::now() + span);
+    }
+
     /// Ends the server like a crash: all its connections are closed at once.
     pub fn close(self) {
         self.accepting.abort();
@@ -348,6 +365,9 @@
             let text = answer("421 Misdirected", "x-not-executed: 1\r\n");
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
+        if head.path() == HEALTH_PATH {
+            return self.answer_health_check(stream).await;
+        }
         let mode = self.next_mode();
         let has_run = !matches!(
             mode,
@@ -421,6 +441,21 @@
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
+    /// Answers a health check. Returns whether the connection stays open.
+    async fn answer_health_check(&self, stream: &mut TcpStream) -> bool {
+        self.log.health_checks.fetch_add(1, Ordering::Relaxed);
+        let cold_until = *lock(&self.cold_until);
+        let left = cold_until.map(|until| until.saturating_duration_since(Instant::now()));
+        let left = left.filter(|left| !left.is_zero());
+        let cold = left.map(|left| format!("x-warmup-ms: {}\r\n", left.as_millis()));
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nx-instance-id: {}\r\n{}content-length: 0\r\n\r\n",
+            self.settings.id,
+            cold.unwrap_or_default()
+        );
+        stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
     /// Sends `start`, then `piece` again and again until the caller closes the
     /// connection, which is counted. Returns whether the connection stays open.
     async fn send_endlessly(&self, stream: &mut TcpStream, start: &str, piece: &str) -> bool {
--- a/crates/standins/tests/servers/main.rs
+++ b/crates/standins/tests/servers/main.rs
@@ -1,6 +1,7 @@
 //! Backend servers that leave, join and state their limits, in a fleet of entry
 //! hosts that run as processes.
 
+mod cold_starts;
 mod removals;
 mod statements;
 
@@ -43,7 +44,7 @@
             rate_per_s: 10_000.0,
             burst: 10_000.0,
         }],
-        ..Default::default()
+        ..settings.configuration
     };
     let settings = EntryFleetSettings {
         configuration,
