Spread changes of entries that only turn a server cold

Callers saw bookings fail at cold servers that crashed under a full load. The digest now covers the warm-up time.

--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -2,7 +2,7 @@
 
 use {
     mangostep_objects::{FollowedSet, Snapshot},
-    mangostep_policy::{CopySource, HostRow, ServerEntry, TableDelta, TableRow},
+    mangostep_policy::{CopySource, HostRow, TableDelta, TableRow},
     slog::{info, warn},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -100,20 +100,16 @@
 }
 
 /// Digest of the contents of a table, which is equal on all hosts that applied
-/// the same changes. The fields that backend servers update with each
-/// heartbeat are excluded. The digest covers the derived `Debug` text of
-/// `ServerEntry`, so the name and the fields of that type must be the same on
-/// all hosts.
+/// the same changes. It covers the derived `Debug` text of `ServerEntry`, which
+/// leaves out what backend servers update with each heartbeat but the time that
+/// is left of their cold start. The name and the fields of that type must be the
+/// same on all hosts.
 fn digest_of<P: Platform>(context: &HostContext, platform: &P, table: FleetTable) -> u64 {
     let tables = context.tables.borrow();
     let rows = tables.of(table).copy.rows();
     let digests = rows.map(|(key, value)| match table {
         FleetTable::Servers => {
             let entry = platform.decode_server_row(key, value).ok();
-            let entry = entry.map(|entry| ServerEntry {
-                cold_left: Duration::ZERO,
-                ..entry
-            });
             xxh3_64(format!("{key} {entry:?}").as_bytes())
         }
         FleetTable::Operator | FleetTable::Hosts => xxh3_64(key.as_bytes()) ^ xxh3_64(value),
