Take a token for each request to a cold server

Callers saw bookings fail at cold servers that crashed: each host knew that a server was cold, and all together passed its rate. A host without its peers' start reports took the whole rate for itself once its warm servers were full, and in a burst its estimate of the fleet's rate, averaged over five seconds, was too low. A request to a cold server now takes a token from the bucket that limits servers with a stated rate: one home counts for all hosts, and a host that reaches no home uses its part alone. The estimate and the start reports stay; they keep the number of denied tokens small.

--- a/crates/mangostep-entry/src/forward/sender.rs
+++ b/crates/mangostep-entry/src/forward/sender.rs
@@ -6,7 +6,7 @@
     mangostep_http::ServerResponse,
     mangostep_policy::{
         ChoiceRefusal, ChoiceRequest, ServerChoice, ServerEntry, ServerKey, ServerSignal,
-        TokenVerdict,
+        StatedLimit, TokenVerdict,
     },
     slog::warn,
     tokio::time::{Instant, timeout},
@@ -47,6 +47,10 @@
 /// Maximum number of servers that deny one request a token.
 const DENIALS_MAX: u32 = 12;
 
+/// Maximum wait for a token of a server in cold start. Other hosts may use fewer
+/// of them.
+const COLD_DENIAL_MAX: Duration = Duration::from_millis(500);
+
 /// Multiple of the mean duration after which a request counts as stalled. One
 /// in a hundred requests to healthy servers takes longer.
 const STALL_FACTOR: u32 = 4;
@@ -237,7 +241,7 @@
     /// Takes a token for a server that states a rate limit. Without one, this
     /// host does not choose the server again before one may be available.
     async fn take_token(&self, key: ServerKey, entry: &ServerEntry) -> bool {
-        let Some(limit) = self.context.pool.borrow().rate_limit(key) else {
+        let Some(limit) = self.rate_limit(key) else {
             return true;
         };
         let verdict = peers::acquire_server_token(self.context, entry, limit).await;
@@ -246,10 +250,22 @@
         };
         self.context.counters.count("server-token-denied", &[]);
         let mut pool = self.context.pool.borrow_mut();
-        pool.record_denial(key, clock::now() + after);
+        let now = clock::now();
+        let after = match pool.is_cold(key, now) {
+            true => after.min(COLD_DENIAL_MAX),
+            false => after,
+        };
+        pool.record_denial(key, now + after);
         false
     }
 
+    /// The rate limit of a server over all hosts, if it has one now.
+    fn rate_limit(&self, key: ServerKey) -> Option<StatedLimit> {
+        let cold_rate_per_s = self.planned.service.cold_rate_per_s;
+        let pool = self.context.pool.borrow();
+        pool.rate_limit(key, cold_rate_per_s, clock::now())
+    }
+
     /// Records what this host knows of the server that a request is sent to.
     fn trace_server(&self, key: ServerKey, trace: &mut RequestTrace) {
         let now = clock::now();
@@ -396,7 +412,7 @@
             return (first.await, None);
         };
         // The tokens of a server with a rate limit are left to first sends.
-        if self.context.pool.borrow().rate_limit(second_key).is_some() {
+        if self.rate_limit(second_key).is_some() {
             return (first.await, None);
         }
         if !self.take_retry() {
--- a/crates/mangostep-policy/src/dispatch/server_statement.rs
+++ b/crates/mangostep-policy/src/dispatch/server_statement.rs
@@ -48,6 +48,17 @@
     pub burst: f64,
 }
 
+impl StatedLimit {
+    /// The limit of a server that takes `rate_per_s` requests per second.
+    pub(super) fn of(rate_per_s: f64) -> Self {
+        let rate_per_s = rate_per_s.max(RATE_LIMIT_MIN_PER_S);
+        StatedLimit {
+            rate_per_s,
+            burst: 1.0 + rate_per_s * BURST_S,
+        }
+    }
+}
+
 /// Lowest rate limit that is applied, in requests per second. Some requests
 /// must reach the server, since only its responses withdraw the limit.
 const RATE_LIMIT_MIN_PER_S: f64 = 0.1;
@@ -128,11 +139,8 @@
 
     /// Rate limit of the server over all hosts.
     pub(super) fn rate_limit(&self) -> Option<StatedLimit> {
-        let rate_per_s = self.latest.rate_limit_per_s?.max(RATE_LIMIT_MIN_PER_S);
-        Some(StatedLimit {
-            rate_per_s,
-            burst: 1.0 + rate_per_s * BURST_S,
-        })
+        let rate_per_s = self.latest.rate_limit_per_s?;
+        Some(StatedLimit::of(rate_per_s))
     }
 
     /// Records that there is no token for the server before `until`.
@@ -142,10 +150,7 @@
 
     /// Time until this host may ask for a token again; zero if it may now.
     pub(super) fn denied_for(&self, now: MonotonicTime) -> Duration {
-        match self.latest.rate_limit_per_s {
-            Some(_) => self.denied_until.since(now),
-            None => Duration::ZERO,
-        }
+        self.denied_until.since(now)
     }
 
     /// The latest statement and its time, if peers should learn it: a watcher
--- a/crates/mangostep-policy/tests/dispatch/cold_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/cold_servers.rs
@@ -3,8 +3,8 @@
 use {
     mangostep_objects::RequestKind,
     mangostep_policy::{
-        AllowanceSettings, ChoiceRequest, PoolSettings, RetryAllowance, ServerChoice, ServerEntry,
-        ServerPool,
+        AllowanceSettings, ChoiceRequest, LedgerRequest, LedgerSettings, PoolSettings,
+        RetryAllowance, ServerChoice, ServerEntry, ServerPool, TokenLedger, TokenVerdict,
     },
     rand::{SeedableRng, rngs::SmallRng},
 };
@@ -269,3 +269,64 @@
     );
     assert!(seconds.iter().sum::<u32>() > 20, "{seconds:?}");
 }
+
+/// Hosts that hear nothing of each other's starts, and whose warm servers are
+/// full, each took the whole rate of a cold server for themselves: in a burst,
+/// their estimate of the fleet's rate is too low.
+#[test]
+fn hosts_without_peers_stay_within_the_rate_of_a_cold_server_together() {
+    const CUT_OFF: usize = 18;
+    let mut random = SmallRng::seed_from_u64(8);
+    let mut hosts: Vec<(ServerPool, TokenLedger)> = Vec::new();
+    for _ in 0..CUT_OFF {
+        let mut pool = ServerPool::open(PoolSettings::default());
+        pool.set_host_count(HOSTS);
+        let entry = ServerEntry {
+            cold_left: Duration::from_secs(60),
+            slots: 4,
+            ..server(0)
+        };
+        pool.put(&entry, Duration::ZERO, at_ms(0));
+        hosts.push((pool, TokenLedger::open(LedgerSettings::default())));
+    }
+    let mut seconds = [0_u32; 10];
+    // Twelve requests per second on each host, while the average over the last
+    // seconds is still one.
+    for step in 0..2_160_u64 {
+        let now = at_ms(step * 1_000 / 216);
+        let (pool, ledger) = &mut hosts[step as usize % CUT_OFF];
+        let choice = pool.choose(
+            request_at(1.0, true),
+            Some(COLD_RATE_PER_S),
+            |_| true,
+            &mut random,
+            now,
+        );
+        let ServerChoice::Send(key) = choice else {
+            continue;
+        };
+        let limit = pool.rate_limit(key, Some(COLD_RATE_PER_S), now);
+        let limit = limit.expect("the server is cold");
+        let request = LedgerRequest {
+            id: (0, step),
+            bucket: "s0",
+            rate_per_s: limit.rate_per_s / HOSTS as f64,
+            burst: 1.0,
+            is_alone: true,
+            has_moved: false,
+        };
+        match ledger.acquire(request, now) {
+            TokenVerdict::Granted => {
+                seconds[step as usize / 216] += 1;
+                pool.start(key, now);
+                pool.finish(key);
+            }
+            TokenVerdict::Denied(after) => pool.record_denial(key, now + after),
+        }
+    }
+    let worst = seconds.iter().max().copied().unwrap_or_default();
+    assert!(
+        f64::from(worst) <= COLD_RATE_PER_S * 1.5 + 5.0,
+        "{worst} in a second: {seconds:?}"
+    );
+}
--- a/crates/mangostep-policy/tests/dispatch/leaving_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/leaving_servers.rs
@@ -141,7 +141,10 @@
     pool.record_own_statement(key, &server(0), limited, at_ms(1_000));
     assert!(pool.record_peer_statement(&report(0, 500), at_ms(1_100)));
     assert!(!pool.accepts_work(key, at_ms(6_000)));
-    assert!(pool.rate_limit(key).is_some(), "the newer limit stays");
+    assert!(
+        pool.rate_limit(key, None, at_ms(0)).is_some(),
+        "the newer limit stays"
+    );
 }
 
 /// When all servers of a service leave, a request is refused at once.
--- a/crates/mangostep-policy/tests/dispatch/limited_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/limited_servers.rs
@@ -109,7 +109,7 @@
     }
 
     fn take_token(&mut self, host: usize, key: ServerKey, now: MonotonicTime) -> bool {
-        let Some(limit) = self.pools[host].rate_limit(key) else {
+        let Some(limit) = self.pools[host].rate_limit(key, None, now) else {
             return true;
         };
         let id = self.pools[host].entry(key).expect("chosen").id.clone();
@@ -268,7 +268,7 @@
         ..server(0)
     };
     let key = pool.put(&restarted, Duration::ZERO, at_ms(2));
-    assert_eq!(pool.rate_limit(key), None);
+    assert_eq!(pool.rate_limit(key, None, at_ms(0)), None);
     let late = StatementReport {
         server: server(0).id,
         started_ms: server(0).started_ms,
@@ -276,7 +276,7 @@
         age_ms: 10,
     };
     assert!(!pool.record_peer_statement(&late, at_ms(20)));
-    assert_eq!(pool.rate_limit(key), None);
+    assert_eq!(pool.rate_limit(key, None, at_ms(0)), None);
 }
 
 /// Reports arrive late and in any order; only the newest statement counts.
@@ -297,5 +297,5 @@
         age_ms: 700,
     };
     assert!(!pool.record_peer_statement(&old, at_ms(2_500)));
-    assert_eq!(pool.rate_limit(key), None);
+    assert_eq!(pool.rate_limit(key, None, at_ms(0)), None);
 }
