Ask servers whether they are cold when the host cannot know

Callers saw bookings fail at cold servers that crashed under a full load. A host without contact to the store and its peers went on with the entries that it had; a server that crashed came back cold under its id before an entry said so; a host that had just started read entries from before. In each case the server itself states the rest of its cold start in its health answers, which no host asked for.

A host now asks a server's health path before it sends a request if its entries were not confirmed for 2.5 s (a change reaches all hosts within 2 s), if the server may have restarted (its connections were closed early, it could not be reached, or a request of this host failed), or within 2.5 s of the host's first read of the entries. An answer counts for one second out of contact, and peers learn it; servers that need no check come first. A server that does not answer within 300 ms is not used for the request. Reads from peers now confirm a copy at once: with the warm-up time in the digest, a host that reads changes one after another would otherwise never see the digest of a peer.

--- a/crates/mangostep-entry/src/back/connection.rs
+++ b/crates/mangostep-entry/src/back/connection.rs
@@ -1,4 +1,4 @@
-use std::{io, net::SocketAddr};
+use std::{io, mem::MaybeUninit, net::SocketAddr};
 
 use {
     bytes::BytesMut,
@@ -86,6 +86,16 @@
         SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout))
     }
 
+    /// Whether the server closed or reset the idle connection. Leaves unread
+    /// bytes in place.
+    pub(crate) fn is_closed(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Ok(length) => length == 0,
+            Err(err) => err.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Whether the idle connection is still open and has no unread bytes.
     pub(crate) fn is_open_and_idle(&self) -> bool {
         let mut byte = [0];
--- a/crates/mangostep-entry/src/back/pools.rs
+++ b/crates/mangostep-entry/src/back/pools.rs
@@ -49,6 +49,17 @@
             .any(|connection| self.is_recent(connection, kind, now))
     }
 
+    /// Whether a server closed an idle connection before the time that it
+    /// announced, which it does when its process ends. Only the connection that
+    /// was used last is examined.
+    pub(crate) fn has_closed_early(&self, key: ServerKey, now: MonotonicTime) -> bool {
+        let idle = self.idle.borrow();
+        let last = idle.get(&key).and_then(|connections| connections.last());
+        last.is_some_and(|connection| {
+            self.is_recent(connection, RequestKind::Idempotent, now) && connection.is_closed()
+        })
+    }
+
     /// Takes an open idle connection whose age permits a request of the kind.
     pub(crate) fn take(
         &self,
--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -120,6 +120,8 @@
     /// Time at which the copy was last known to be current, either from a read
     /// of the store or from the report of a host with the same contents.
     pub(crate) confirmed: Option<MonotonicTime>,
+    /// The latest version that a peer announced as current, and when it was.
+    announced: Option<(u64, MonotonicTime)>,
     /// Version of the copy when its contents last changed.
     pub(crate) changed_version: u64,
     /// Since when a peer's copy contradicts this one, if none was read from
@@ -142,6 +144,28 @@
         own.compare(peer.version, peer.digest)
     }
 
+    /// Records that a peer's copy was current at `confirmed`. This copy was too
+    /// if it has the same contents, and otherwise once it has that version.
+    pub(crate) fn record_announcement(&mut self, peer: &TableSummary, confirmed: MonotonicTime) {
+        if self.digest == peer.digest {
+            self.confirmed = self.confirmed.max(Some(confirmed));
+            return;
+        }
+        let is_later = |(_, known): (u64, MonotonicTime)| known < confirmed;
+        if self.announced.is_none_or(is_later) {
+            self.announced = Some((peer.version, confirmed));
+        }
+    }
+
+    /// Records that changes were read from a peer.
+    pub(crate) fn record_peer_read(&mut self) {
+        let version = self.copy.version();
+        if let Some((_, confirmed)) = self.announced.filter(|(known, _)| *known <= version) {
+            self.confirmed = self.confirmed.max(Some(confirmed));
+            self.announced = None;
+        }
+    }
+
     /// Whether a peer with the given table summary has a newer copy.
     pub(crate) fn is_older_than(&self, summary: &TableSummary) -> bool {
         self.compare(summary) == CopyComparison::PeerIsNewer
--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -50,6 +50,9 @@
             table == FleetTable::Servers && is_heartbeat(platform, known, new)
         });
         state.is_known = true;
+        if source == CopySource::Host {
+            state.record_peer_read();
+        }
         if source == CopySource::Store && version >= state.copy.version() {
             state.confirmed = Some(now);
             if table == FleetTable::Servers {
@@ -60,6 +63,9 @@
                 state.conflict_since = None;
             }
         }
+        if let Some(confirmed) = state.confirmed.filter(|_| table == FleetTable::Servers) {
+            context.pool.borrow_mut().record_contact(confirmed);
+        }
         if !changed.is_empty() {
             state.changed_version = state.copy.version();
         }
@@ -200,6 +206,9 @@
         false => longest_cold_ramp(context),
     };
     let mut pool = context.pool.borrow_mut();
+    if copy.is_first_read && !context.settings.is_first_start {
+        pool.record_joining(now);
+    }
     for row in changed {
         let Some(value) = &row.value else {
             match held_until {
--- a/crates/mangostep-entry/src/forward/mod.rs
+++ b/crates/mangostep-entry/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod refusal;
 mod request;
 mod sender;
+mod server_check;
 
 pub(crate) use self::{
     refusal::{FrontResponse, Refusal},
--- a/crates/mangostep-entry/src/forward/sender.rs
+++ b/crates/mangostep-entry/src/forward/sender.rs
@@ -1,12 +1,12 @@
-use std::io::ErrorKind;
+use std::{io::ErrorKind, ops::ControlFlow};
 
 use {
     futures::future::Either,
     http::StatusCode,
     mangostep_http::ServerResponse,
     mangostep_policy::{
-        ChoiceRefusal, ChoiceRequest, ServerChoice, ServerEntry, ServerKey, ServerSignal,
-        StatedLimit, TokenVerdict,
+        CheckReason, ChoiceRefusal, ChoiceRequest, ServerChoice, ServerEntry, ServerKey,
+        ServerSignal, StatedLimit, TokenVerdict,
     },
     slog::warn,
     tokio::time::{Instant, timeout},
@@ -20,6 +20,7 @@
         outgoing::{OutgoingHeaders, end_to_end, outgoing_request},
         refusal::{FrontResponse, Refusal},
         request::{ForwardRequest, PlannedRequest, RequestTrace, is_idempotent},
+        server_check::ServerCheck,
     },
     peers,
     platform::FleetTable,
@@ -47,6 +48,10 @@
 /// Maximum number of servers that deny one request a token.
 const DENIALS_MAX: u32 = 12;
 
+/// Maximum number of servers that are asked for one request whether they are in
+/// cold start.
+const CHECKS_MAX: u32 = 4;
+
 /// Maximum wait for a token of a server in cold start. Other hosts may use fewer
 /// of them.
 const COLD_DENIAL_MAX: Duration = Duration::from_millis(500);
@@ -119,7 +124,7 @@
 
     pub(crate) async fn run(mut self, trace: &mut RequestTrace) -> Result<FrontResponse, Refusal> {
         let mut last: Option<Box<ServerResponse>> = None;
-        let mut denials = 0;
+        let (mut denials, mut checks) = (0, 0);
         loop {
             let choice = self.choose();
             let (key, entry) = match choice {
@@ -129,6 +134,16 @@
                     return self.give_up(last, after);
                 }
             };
+            if let Some(reason) = self.check_reason(key) {
+                if checks == CHECKS_MAX {
+                    trace.detail = ChoiceRefusal::Unchecked.as_str();
+                    return self.give_up(last, RETRY_AFTER);
+                }
+                checks += 1;
+                if self.check(key, &entry, reason).await.is_continue() {
+                    continue;
+                }
+            }
             if !self.take_token(key, &entry).await {
                 trace.record_limited(&entry.id);
                 denials += 1;
@@ -266,6 +281,46 @@
         pool.rate_limit(key, cold_rate_per_s, clock::now())
     }
 
+    /// Why a server must be asked whether it is in cold start before the request
+    /// is sent; `None` if this host knows, or the service has no cold start.
+    fn check_reason(&self, key: ServerKey) -> Option<CheckReason> {
+        self.planned.service.cold_rate_per_s?;
+        let now = clock::now();
+        let mut pool = self.context.pool.borrow_mut();
+        if self.context.connections.has_closed_early(key, now) {
+            pool.record_restart(key, now);
+        }
+        pool.check_reason(key, now)
+    }
+
+    /// Asks a server whether it is in cold start. Continues with another choice
+    /// unless the server is known to be warm.
+    async fn check(
+        &mut self,
+        key: ServerKey,
+        entry: &ServerEntry,
+        reason: CheckReason,
+    ) -> ControlFlow<()> {
+        let check = ServerCheck {
+            key,
+            entry,
+            service: self.planned.service,
+            reason,
+            time_left: self.time_left(),
+        };
+        if let Err(signal) = check.run(self.context).await {
+            self.tried.push(key);
+            let now = clock::now();
+            let mut pool = self.context.pool.borrow_mut();
+            pool.record_own_outcome(key, signal, now, now);
+            return ControlFlow::Continue(());
+        }
+        match self.context.pool.borrow().is_cold(key, clock::now()) {
+            true => ControlFlow::Continue(()),
+            false => ControlFlow::Break(()),
+        }
+    }
+
     /// Records what this host knows of the server that a request is sent to.
     fn trace_server(&self, key: ServerKey, trace: &mut RequestTrace) {
         let now = clock::now();
@@ -411,8 +466,9 @@
         let Ok((second_key, second_entry)) = self.choose() else {
             return (first.await, None);
         };
-        // The tokens of a server with a rate limit are left to first sends.
-        if self.rate_limit(second_key).is_some() {
+        // The tokens of a server with a rate limit are left to first sends, and
+        // a check would delay the first one's response.
+        if self.rate_limit(second_key).is_some() || self.check_reason(second_key).is_some() {
             return (first.await, None);
         }
         if !self.take_retry() {
--- a/crates/mangostep-entry/src/peers/messages.rs
+++ b/crates/mangostep-entry/src/peers/messages.rs
@@ -1,14 +1,14 @@
 use std::borrow::Cow;
 
 use {
-    mangostep_policy::{HostRow, PeerReport, ServerSignal, StatementReport, ZoneList},
+    mangostep_policy::{CheckReport, HostRow, PeerReport, ServerSignal, StatementReport, ZoneList},
     serde::{Deserialize, Serialize},
 };
 
 use crate::platform::FleetTable;
 
 /// Version of the datagram format. Datagrams of other versions are dropped.
-pub(crate) const MESSAGE_VERSION: u8 = 6;
+pub(crate) const MESSAGE_VERSION: u8 = 7;
 
 /// A datagram from one host to another. The order of variants and fields is
 /// part of the format.
@@ -33,6 +33,8 @@
     },
     /// A changed statement of a backend server about itself.
     Statement(StatementReport),
+    /// Whether a backend server is in cold start, by its answer to a check.
+    Check(CheckReport),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/mangostep-entry/src/peers/mod.rs
+++ b/crates/mangostep-entry/src/peers/mod.rs
@@ -28,7 +28,7 @@
     messages::TableSummary,
     receiving::receive,
     reporting::{report, report_once},
-    signals::{send_signal, send_statement},
+    signals::{send_check, send_signal, send_statement},
     tokens::{acquire_server_token, acquire_workspace_token, discard_idle_buckets},
 };
 use crate::{peers::copies::CopyKey, platform::FleetTable, prelude::*};
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -79,6 +79,9 @@
         Some(PeerMessage::Statement(report)) => {
             statements::record_peer_statement(context, &report, from);
         }
+        Some(PeerMessage::Check(report)) => {
+            statements::record_peer_check(context, &report, from);
+        }
         None => context.counters.count("datagram-dropped", &[]),
     }
 }
@@ -115,8 +118,12 @@
         let own = tables.of_mut(summary.table);
         if let Some(age_ms) = summary.age_ms {
             let confirmed = now - Duration::from_millis(age_ms.into());
-            if own.digest == summary.digest {
-                own.confirmed = own.confirmed.max(Some(confirmed));
+            own.record_announcement(&summary, confirmed);
+            if let Some(confirmed) = own
+                .confirmed
+                .filter(|_| summary.table == FleetTable::Servers)
+            {
+                context.pool.borrow_mut().record_contact(confirmed);
             }
             if summary.table == FleetTable::Servers {
                 context.lapse.borrow_mut().record_contact(confirmed);
--- a/crates/mangostep-entry/src/peers/signals.rs
+++ b/crates/mangostep-entry/src/peers/signals.rs
@@ -1,7 +1,8 @@
 use std::borrow::Cow;
 
 use mangostep_policy::{
-    ServerEntry, ServerKey, ServerSignal, ServerStatement, SignalScope, StatementReport,
+    CheckReport, ServerEntry, ServerKey, ServerSignal, ServerStatement, SignalScope,
+    StatementReport,
 };
 
 use crate::{
@@ -28,6 +29,15 @@
     }
 }
 
+/// Notifies the hosts that serve requests of a server's answer to a check of
+/// this host.
+pub(crate) fn send_check(context: &HostContext, report: &CheckReport) {
+    let bytes = encode(&PeerMessage::Check(report.clone()));
+    for to in context.hosts.borrow().observers(clock::now()) {
+        context.peers.send(&bytes, to);
+    }
+}
+
 /// Notifies peers of this host's in-flight requests at a server, and of the
 /// outcome `signal` of the request sent at `sent`.
 ///
--- a/crates/mangostep-entry/src/platform.rs
+++ b/crates/mangostep-entry/src/platform.rs
@@ -85,6 +85,8 @@
     /// How long the server wants nothing from this host, if it shed the
     /// request.
     pub wait: Option<Duration>,
+    /// Remaining time in cold start; `None` if the response does not state it.
+    pub cold_left: Option<Duration>,
     /// Headers that could not be decoded.
     pub faults: Vec<StatementFault>,
 }
--- a/crates/mangostep-entry/src/statements.rs
+++ b/crates/mangostep-entry/src/statements.rs
@@ -2,7 +2,7 @@
 
 use {
     mangostep_http::ResponseHead,
-    mangostep_policy::{ServerEntry, ServerKey, ServerStatement, StatementReport},
+    mangostep_policy::{CheckReport, ServerEntry, ServerKey, ServerStatement, StatementReport},
     rand::RngExt,
     slog::{info, warn},
 };
@@ -25,6 +25,7 @@
     let DecodedStatement {
         statement,
         wait,
+        cold_left,
         faults,
     } = decoded;
     let now = clock::now();
@@ -40,6 +41,9 @@
                 "header" => fault.header, "value" => &fault.value);
         }
     }
+    if let Some(left) = cold_left {
+        record_cold_left(context, key, left);
+    }
     let mut pool = context.pool.borrow_mut();
     if let Some(wait) = wait {
         let spread = context.random.borrow_mut().random_range(0.0..1.0);
@@ -56,6 +60,27 @@
     wait.is_some()
 }
 
+/// Records the rest of its cold start that a server stated to this host, zero if
+/// it is warm, and notifies the peers.
+pub(crate) fn record_cold_left(context: &HostContext, key: ServerKey, left: Duration) {
+    let report = context
+        .pool
+        .borrow_mut()
+        .record_cold_left(key, left, clock::now());
+    if let Some(report) = report {
+        peers::send_check(context, &report);
+    }
+}
+
+/// Records the rest of its cold start that a server stated to a peer.
+pub(crate) fn record_peer_check(context: &HostContext, report: &CheckReport, from: impl Display) {
+    let mut pool = context.pool.borrow_mut();
+    if pool.record_peer_check(report, clock::now()) {
+        info!(context.log, "server cold"; "server" => &report.server,
+            "cold_ms" => report.cold_left_ms, "seen_by" => from.to_string());
+    }
+}
+
 /// Records what a server stated to a peer.
 pub(crate) fn record_peer_statement(
     context: &HostContext,
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod read_timer;
 mod retry_allowance;
 mod server_backoff;
+mod server_check;
 mod server_choice;
 mod server_entry;
 mod server_pool;
@@ -33,6 +34,7 @@
     pool_settings::PoolSettings,
     read_timer::{ReadState, ReadTimer},
     retry_allowance::{AllowanceSettings, RetryAllowance},
+    server_check::{CheckReason, CheckReport},
     server_choice::{ChoiceRefusal, ChoiceRequest, ServerChoice},
     server_entry::ServerEntry,
     server_pool::{PeerKey, ServerKey, ServerPool},
--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -88,6 +88,17 @@
     pub queue_per_slot: f64,
     /// Share of a cold server's request rate that all hosts use together.
     pub cold_rate_share: f64,
+    /// Time after which a change of an entry is known to all hosts that the store
+    /// or a peer keeps current.
+    pub entry_delay: Duration,
+    /// Time for which a host out of contact relies on a server's statement that
+    /// it is not in cold start.
+    pub check_ttl: Duration,
+    /// Maximum time for which a host waits for such a statement. The server
+    /// answers when one of its slots is free.
+    pub check_timeout: Duration,
+    /// Cost of asking for the statement: a round trip and a part of a slot.
+    pub check_cost: Duration,
     /// Time until the start of a request is known to all hosts, some of which
     /// have a tenth of a core.
     pub signal_delay: Duration,
@@ -130,6 +141,10 @@
             evidence_age_scale: Duration::from_secs(1),
             queue_per_slot: 2.0,
             cold_rate_share: 0.75,
+            entry_delay: Duration::from_millis(2_500),
+            check_ttl: Duration::from_secs(1),
+            check_timeout: Duration::from_millis(300),
+            check_cost: Duration::from_millis(40),
             signal_delay: Duration::from_millis(100),
             peer_load_ttl: Duration::from_secs(3),
             initial_duration: Duration::from_millis(250),
--- a/crates/mangostep-policy/src/dispatch/server_choice.rs
+++ b/crates/mangostep-policy/src/dispatch/server_choice.rs
@@ -55,6 +55,8 @@
     /// All servers that could take the request stated a wait that has not
     /// ended.
     BackingOff,
+    /// The host waits for the servers to state whether they are in cold start.
+    Unchecked,
 }
 
 impl ChoiceRefusal {
@@ -66,6 +68,7 @@
             ChoiceRefusal::AllCold => "all-cold",
             ChoiceRefusal::RateLimited => "rate-limited",
             ChoiceRefusal::BackingOff => "backing-off",
+            ChoiceRefusal::Unchecked => "unchecked",
         }
     }
 }
--- a/crates/mangostep-policy/src/dispatch/server_pool/choosing.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/choosing.rs
@@ -316,6 +316,9 @@
         if record.shedding_until > now {
             cost += settings.shed_cost.as_secs_f64();
         }
+        if self.check_reason_of(record, now).is_some() {
+            cost += settings.check_cost.as_secs_f64();
+        }
         let chance = self.failure_chance_of(record, now);
         let is_retryable = request.kind == RequestKind::Idempotent && request.may_retry;
         if !is_retryable {
--- a/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
@@ -1,5 +1,6 @@
 //! The backend servers that a host knows.
 
+mod checks;
 mod choosing;
 mod outcomes;
 mod statements;
@@ -15,7 +16,8 @@
     MonotonicTime,
     dispatch::{
         PoolSettings, ServerEntry, ServerEvidence, SignalScope, SlidingCounter,
-        server_backoff::ServerBackoff, server_statement::StatementRecord,
+        server_backoff::ServerBackoff, server_check::CheckRecord,
+        server_statement::StatementRecord,
     },
 };
 
@@ -53,6 +55,7 @@
     misdirected_until: MonotonicTime,
     statements: StatementRecord,
     backoff: ServerBackoff,
+    check: CheckRecord,
 }
 
 impl ServerRecord {
@@ -85,6 +88,10 @@
     retryable: HashMap<String, RetryableTimes>,
     outcomes: HashMap<String, ServiceOutcomes>,
     host_count: usize,
+    /// When the entries were last known to be current.
+    contact: Option<MonotonicTime>,
+    /// When this host read the entries for the first time.
+    joined: Option<MonotonicTime>,
 }
 
 /// Times of a service's most recent retryable requests.
@@ -143,6 +150,9 @@
                 && record.entry.address == entry.address;
             if is_same {
                 record.held_until = None;
+                if !entry.cold_left.is_zero() {
+                    record.check.clear_restart();
+                }
                 record.cold_until = record.cold_until.max(now + entry.cold_left);
                 record.entry = entry.clone();
                 return key;
@@ -164,6 +174,7 @@
             misdirected_until: MonotonicTime::ZERO,
             statements: self.known_statements(entry, now),
             backoff: ServerBackoff::default(),
+            check: CheckRecord::default(),
         });
         self.by_id.insert(entry.id.clone(), key);
         let service = self.by_service.entry(entry.service.clone()).or_default();
--- a/crates/mangostep-policy/src/dispatch/server_pool/outcomes.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/outcomes.rs
@@ -33,6 +33,7 @@
         now: MonotonicTime,
     ) -> Option<SuspicionChange> {
         let before = self.failure_chance(key, now);
+        self.record_possible_restart(key, signal, true, now);
         if let Some(record) = self.servers.get_mut(key)
             && signal == ServerSignal::Success
         {
@@ -59,6 +60,7 @@
         now: MonotonicTime,
     ) -> Option<SuspicionChange> {
         let before = self.failure_chance(key, now);
+        self.record_possible_restart(key, signal, false, now);
         self.record_shared(key, signal, sent, now);
         self.suspicion_change(before, key, now)
     }
--- a/crates/mangostep-policy/src/dispatch/server_pool/statements.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/statements.rs
@@ -6,7 +6,7 @@
     MonotonicTime,
     dispatch::{
         ChoiceRefusal, ChoiceRequest, ServerEntry, ServerKey, ServerPool, ServerStatement,
-        StatedLimit, StatementCounts, StatementReport, server_pool::ServerRecord,
+        StatementCounts, StatementReport, server_pool::ServerRecord,
         server_statement::StatementRecord,
     },
 };
@@ -127,26 +127,6 @@
         counts
     }
 
-    /// The rate limit of a server over all hosts: the one that it states, and
-    /// while it is cold at most `cold_rate_per_s`, the rate that it can handle.
-    /// Each request to the server takes a token from a bucket that all hosts
-    /// share.
-    pub fn rate_limit(
-        &self,
-        key: ServerKey,
-        cold_rate_per_s: Option<f64>,
-        now: MonotonicTime,
-    ) -> Option<StatedLimit> {
-        let record = self.servers.get(key)?;
-        let stated = record.statements.rate_limit();
-        let cold_rate = cold_rate_per_s.filter(|_| record.cold_until > now);
-        let cold = cold_rate.map(|rate| StatedLimit::of(rate * self.settings.cold_rate_share));
-        match (stated, cold) {
-            (Some(stated), Some(cold)) if cold.rate_per_s < stated.rate_per_s => Some(cold),
-            (stated, cold) => stated.or(cold),
-        }
-    }
-
     /// Records that this host gets no token for a server before `until`.
     pub fn record_denial(&mut self, key: ServerKey, until: MonotonicTime) {
         if let Some(record) = self.servers.get_mut(key) {
@@ -170,6 +150,10 @@
             let duration = self.mean_duration(request.service);
             return Some((ChoiceRefusal::BackingOff, duration));
         }
+        let pending = record.check.pending_for(now);
+        if !pending.is_zero() {
+            return Some((ChoiceRefusal::Unchecked, pending));
+        }
         let denied = match record.cold_until > now || record.statements.rate_limit().is_some() {
             true => record.statements.denied_for(now),
             false => Duration::ZERO,
--- a/crates/mangostep-policy/tests/dispatch/main.rs
+++ b/crates/mangostep-policy/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions of hosts that send requests directly to backend
 //! servers, each under a load that it must handle.
 
+mod checked_servers;
 mod cold_servers;
 mod copy_source;
 mod copy_summary;
