Turn servers cold in the soak

The soak knew no cold starts. Each seed now has two servers that crash and come back under their ids, cold, and two that turn cold while they run, and checks what reaches them from all hosts.

--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -13,7 +13,7 @@
     entry_fleet::EntryFleet,
     soak::{
         records::{CallerEnd, CallerRecord, Incident, SoakRecords},
-        traffic::initial_configuration,
+        traffic::{COLD_RATE_PER_S, COLD_TIME, initial_configuration},
     },
 };
 
@@ -55,6 +55,15 @@
 /// Requests that a host may send to a server during a stated wait.
 const WAIT_CROSSINGS_MAX: usize = 2;
 
+/// Window over which the requests to a cold server are counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// Factor by which a cold server may get more than it can handle in a window.
+const COLD_OVERSHOOT: f64 = 1.5;
+
+/// Additional requests to a cold server in a window.
+const COLD_SLACK: f64 = 5.0;
+
 /// Window over which the retries of a service are counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
@@ -310,6 +319,7 @@
                 Incident::Limited(server, Some(rate)) => self.check_limited(*at, server, *rate),
                 Incident::Leaving(server) => self.check_leaving(*at, server),
                 Incident::Waits(server, Some(wait)) => self.check_waits(*at, server, *wait),
+                Incident::Cold(server) => self.check_cold(*at, server),
                 _ => {}
             }
         }
@@ -384,6 +394,25 @@
         }
     }
 
+    /// A cold server gets no more than it can handle, also from hosts that no
+    /// longer reach the store.
+    fn check_cold(&mut self, from: Instant, server: &str) {
+        let arrivals = self.requests.iter().flat_map(|request| {
+            let arrivals = self.arrivals.get(&*request.id);
+            arrivals.into_iter().flatten()
+        });
+        let cold = from + PROPAGATION_LIMIT + RECORDING_DELAY..from + COLD_TIME;
+        let own = arrivals.filter(|a| a.server == server && !a.is_misdirected);
+        let mut times: Vec<Instant> = own.map(|arrival| arrival.at).collect();
+        times.retain(|at| cold.contains(at));
+        times.sort();
+        let allowed = COLD_RATE_PER_S * COLD_OVERSHOOT + COLD_SLACK;
+        if let Some((at, count)) = first_excess_window(&times, COLD_WINDOW, allowed) {
+            let observed = format!("{server}: {count} of {allowed:.1}");
+            self.report("cold servers", at, observed);
+        }
+    }
+
     fn check_leaving(&mut self, from: Instant, server: &str) {
         let arrivals = self.arrivals_since(server, from);
         let Some((first, _)) = arrivals.first() else {
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -11,6 +11,7 @@
         checks::STOP_GRACE,
         records::{Incident, SoakRecords},
         schedule::{SoakEvent, SoakFault},
+        traffic::COLD_TIME,
     },
 };
 
@@ -217,7 +218,13 @@
                 self.fleet.servers[*server].proxy.run(reset);
                 return;
             }
-            SoakFault::CrashServer(server) => self.fleet.stop_server(*server),
+            SoakFault::CrashServer(server) | SoakFault::RestartCold(server) => {
+                self.fleet.stop_server(*server);
+            }
+            SoakFault::TurnCold(server) => {
+                self.begin_cold_start(*server);
+                return;
+            }
             SoakFault::DrainServer(server) => {
                 self.fleet.write_entry(*server, "draining");
                 let id = self.fleet.servers[*server].id.clone();
@@ -307,6 +314,16 @@
                 self.set_server_rule(server, LinkRule::default());
                 Ok(())
             }
+            SoakFault::RestartCold(server) => {
+                // Another fault may have replaced the server.
+                if self.fleet.servers[server].backend.is_none() {
+                    self.fleet.restart_cold(server, COLD_TIME).await?;
+                    let statement = self.statements[server].clone();
+                    self.fleet.set_statement(server, statement);
+                    self.begin_cold_start(server);
+                }
+                Ok(())
+            }
             SoakFault::CrashServer(server)
             | SoakFault::DrainServer(server)
             | SoakFault::StateLeaving(server) => self.replace_server(server).await,
@@ -331,10 +348,29 @@
             | SoakFault::SilenceAllStores
             | SoakFault::SilenceServer(_)
             | SoakFault::ResetServer(_)
+            | SoakFault::TurnCold(_)
             | SoakFault::GrowConfiguration(_) => Ok(()),
         }
     }
 
+    /// Begins the cold start of a running server, which writes its entry.
+    fn begin_cold_start(&self, server: usize) {
+        if self.fleet.servers[server].backend.is_none() {
+            return;
+        }
+        let id = self.fleet.servers[server].id.clone();
+        self.fleet.turn_cold(server, COLD_TIME);
+        let is_leaving = self
+            .records
+            .incidents()
+            .iter()
+            .any(|(_, incident)| matches!(incident, Incident::Left(left) if *left == id));
+        if !is_leaving {
+            self.fleet.write_cold_entry(server, "ready", COLD_TIME);
+        }
+        self.records.note(Incident::Cold(id));
+    }
+
     /// Changes what a server states in its next answers.
     fn state(&mut self, server: usize, change: impl FnOnce(&mut BackendStatement)) {
         let statement = &mut self.statements[server];
--- a/crates/standins/src/soak/records.rs
+++ b/crates/standins/src/soak/records.rs
@@ -61,6 +61,8 @@
     Limited(String, Option<f64>),
     /// A server began to state that it leaves.
     Leaving(String),
+    /// A server began a cold start.
+    Cold(String),
     /// A server began to state a wait whenever it sheds, or no longer does.
     Waits(String, Option<Duration>),
     /// A host was still running at the end of its stop grace period.
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -49,6 +49,10 @@
     ResetServer(usize),
     /// A backend server crashes; a replacement starts at its address.
     CrashServer(usize),
+    /// A backend server crashes, and starts again under its id in cold start.
+    RestartCold(usize),
+    /// A backend server turns cold while it runs.
+    TurnCold(usize),
     /// A backend server is set to draining, removed and replaced.
     DrainServer(usize),
     /// The entries of servers with consecutive numbers are removed at once,
@@ -75,6 +79,7 @@
     let mut random = SmallRng::seed_from_u64(settings.seed);
     let mut events = draw_planned_operations(settings, &mut random);
     events.extend(draw_removals(settings));
+    events.extend(draw_cold_starts(settings));
     let mut at = Duration::ZERO;
     loop {
         // Faults come in bursts: 30 % follow the previous one within 80 ms.
@@ -131,6 +136,24 @@
     events.collect()
 }
 
+/// Draws cold starts of servers, with a random source of their own.
+fn draw_cold_starts(settings: &SoakSettings) -> Vec<SoakEvent> {
+    let mut random = SmallRng::seed_from_u64(settings.seed.rotate_left(32));
+    let servers = settings.servers_per_zone * 3;
+    let events = (0..4).map(|number| {
+        let server = random.random_range(0..servers);
+        SoakEvent {
+            at: settings.duration.mul_f64(random.random_range(0.0..0.8)),
+            span: Duration::from_millis(random.random_range(100..1_500)),
+            fault: match number % 2 {
+                0 => SoakFault::RestartCold(server),
+                _ => SoakFault::TurnCold(server),
+            },
+        }
+    });
+    events.collect()
+}
+
 fn draw_fault(settings: &SoakSettings, random: &mut impl Rng) -> SoakFault {
     let hosts = settings.hosts_per_zone * 3;
     let servers = (settings.servers_per_zone + settings.servers_per_zone.div_ceil(2)) * 3;
--- a/crates/standins/src/soak/traffic.rs
+++ b/crates/standins/src/soak/traffic.rs
@@ -54,6 +54,12 @@
 
 /// The configuration at the start of a soak: a small workspace with a tight rate
 /// limit, and two larger ones.
+/// Requests per second that a backend server can handle in cold start.
+pub(crate) const COLD_RATE_PER_S: f64 = 1.0;
+
+/// Duration of a cold start.
+pub(crate) const COLD_TIME: Duration = Duration::from_secs(6);
+
 pub(crate) fn initial_configuration() -> EntryConfiguration {
     let workspace = |name: &str, rate_per_s| EntryWorkspace {
         name: name.to_owned(),
@@ -67,6 +73,8 @@
             workspace("south", 400.0),
             workspace("tight", 15.0),
         ],
+        cold_rate_per_s: Some(COLD_RATE_PER_S),
+        cold_time: COLD_TIME,
         ..Default::default()
     }
 }
