Spread each cold start of a server, also of the same length

Callers would see bookings fail at a server that turned cold a second time before its next heartbeat: its entry has the same remaining time as before, so that the digest did not change and most hosts counted from the first cold start. The digest now covers the version of rows that announce a cold start. Entries of the stand-in servers carry the sequence number that real ones do.

cold_starts::cold_start_that_begins_again_reaches_all_hosts failed before (17 requests in a second, 6 allowed) and passes now.

--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -2,7 +2,7 @@
 
 use {
     mangostep_objects::{FollowedSet, Snapshot},
-    mangostep_policy::{CopySource, HostRow, TableDelta, TableRow},
+    mangostep_policy::{CopySource, HostRow, ServerEntry, TableDelta, TableRow},
     slog::{info, warn},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -107,16 +107,21 @@
 
 /// Digest of the contents of a table, which is equal on all hosts that applied
 /// the same changes. It covers the derived `Debug` text of `ServerEntry`, which
-/// leaves out what backend servers update with each heartbeat but the time that
-/// is left of their cold start. The name and the fields of that type must be the
-/// same on all hosts.
+/// leaves out what backend servers update with each heartbeat. Of a server in
+/// cold start each heartbeat counts, because it may begin another cold start of
+/// the same length. The name and the fields of that type must be the same on all
+/// hosts.
 fn digest_of<P: Platform>(context: &HostContext, platform: &P, table: FleetTable) -> u64 {
     let tables = context.tables.borrow();
-    let rows = tables.of(table).copy.rows();
+    let copy = &tables.of(table).copy;
+    let rows = copy.rows();
     let digests = rows.map(|(key, value)| match table {
         FleetTable::Servers => {
             let entry = platform.decode_server_row(key, value).ok();
-            xxh3_64(format!("{key} {entry:?}").as_bytes())
+            let is_cold = |entry: &ServerEntry| !entry.cold_left.is_zero();
+            let heartbeat = entry.as_ref().filter(|entry| is_cold(entry));
+            let heartbeat = heartbeat.and_then(|_| copy.row_version(key));
+            xxh3_64(format!("{key} {entry:?} {heartbeat:?}").as_bytes())
         }
         FleetTable::Operator | FleetTable::Hosts => xxh3_64(key.as_bytes()) ^ xxh3_64(value),
     });
--- a/crates/mangostep-policy/src/dispatch/table_copy.rs
+++ b/crates/mangostep-policy/src/dispatch/table_copy.rs
@@ -56,6 +56,12 @@
             .filter_map(|row| Some((row.key.as_str(), row.value.as_deref()?)))
     }
 
+    /// Store version at which the present value of a row was written.
+    pub fn row_version(&self, key: &str) -> Option<u64> {
+        let row = self.rows.get(key)?;
+        row.value.is_some().then_some(row.version)
+    }
+
     /// Applies a delta and returns the rows that it changed; removed rows have
     /// no value.
     pub fn apply(&mut self, delta: TableDelta) -> Vec<TableRow> {
--- a/crates/standins/src/entry_fleet/mod.rs
+++ b/crates/standins/src/entry_fleet/mod.rs
@@ -6,7 +6,10 @@
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -131,6 +134,8 @@
     pub log: BackendLog,
     settings: EntryFleetSettings,
     shared_plan: Arc<Mutex<AnswerPlan>>,
+    /// Number of entries that the servers have written.
+    heartbeats: AtomicU64,
     program: std::path::PathBuf,
     _block: AddressBlock,
     folder: tempfile::TempDir,
@@ -192,6 +197,7 @@
             log: BackendLog::default(),
             settings,
             shared_plan: Arc::default(),
+            heartbeats: AtomicU64::new(1),
             program: programs.mangostep,
             _block: block,
             folder,
@@ -320,6 +326,7 @@
             "service": server.service, "address": server.address, "zone": server.zone,
             "version": "v1", "slots": 4, "state": state,
             "warmupLeftS": cold_left.as_secs_f64(), "born": server.starts,
+            "sequence": self.heartbeats.fetch_add(1, Ordering::Relaxed),
         });
         let text = entry.to_string();
         self.store.put("servers", &server.id, Some(text.as_bytes()));
--- a/crates/standins/tests/servers/cold_starts.rs
+++ b/crates/standins/tests/servers/cold_starts.rs
@@ -84,6 +84,20 @@
     fleet.close();
 }
 
+/// A server turned cold again before its next heartbeat, with the same time left:
+/// most hosts counted its cold start from the first entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_start_that_begins_again_reaches_all_hosts() {
+    let fleet = open_zone().await;
+    fleet.write_cold_entry(0, "ready", COLD_TIME);
+    send_requests(&fleet, "first", ENTRY_DELAY).await;
+    fleet.write_cold_entry(0, "ready", COLD_TIME);
+    let again = Instant::now();
+    send_requests(&fleet, "again", COLD_TIME).await;
+    assert_spared(&fleet, again, again + COLD_TIME - REQUEST_INTERVAL);
+    fleet.close();
+}
+
 /// The store is away: hosts went on with the entries that they had, while a
 /// server had turned cold and said so in its health answers.
 #[tokio::test(flavor = "multi_thread")]
