Take nothing that waited during a pause for current

The host now detects that it did not run for 0.6 s, and for 0.3 s takes no report and no answer of the store as a confirmation of its copies; until then it asks the servers. Module test: dispatch: pause_detector.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -7,8 +7,8 @@
     http::{HeaderMap, StatusCode},
     mangostep_objects::Snapshot,
     mangostep_policy::{
-        CopyComparison, CopySummary, HostTable, LapseRule, RetryAllowance, ServerPool,
-        SlidingCounter, TableCopy, TokenLedger, TrafficSplitter,
+        CopyComparison, CopySummary, HostTable, LapseRule, PauseDetector, RetryAllowance,
+        ServerPool, SlidingCounter, TableCopy, TokenLedger, TrafficSplitter,
     },
     mangostep_telemetry::HostCounters,
     rand::{SeedableRng, rngs::SmallRng},
@@ -42,6 +42,7 @@
     pub(crate) snapshot: RefCell<Option<Rc<Snapshot>>>,
     pub(crate) tables: RefCell<TableStates>,
     pub(crate) lapse: RefCell<LapseRule>,
+    pub(crate) pauses: RefCell<PauseDetector>,
     pub(crate) pool: RefCell<ServerPool>,
     pub(crate) hosts: RefCell<HostTable>,
     pub(crate) allowance: RefCell<RetryAllowance>,
@@ -60,6 +61,8 @@
     pub(crate) received_bytes: Cell<u64>,
     /// Whether the most recent call to the store failed.
     pub(crate) store_failed: Cell<bool>,
+    /// Wakes the requests that wait for the end of a server's check.
+    pub(crate) check_ended: tokio::sync::Notify,
     /// Triggers a report to the peers, for example when a table changed.
     pub(crate) report_wake: tokio::sync::Notify,
     /// Number of in-flight requests.
--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -36,6 +36,7 @@
     source: CopySource,
 ) {
     let now = clock::now();
+    let is_delayed = context.pauses.borrow().may_be_delayed(now);
     let (version, changed, copy) = {
         let mut tables = context.tables.borrow_mut();
         let state = tables.of_mut(table);
@@ -54,7 +55,9 @@
             state.record_peer_read();
         }
         if source == CopySource::Store && version >= state.copy.version() {
-            state.confirmed = Some(now);
+            if !is_delayed {
+                state.confirmed = Some(now);
+            }
             if table == FleetTable::Servers {
                 context.lapse.borrow_mut().record_contact(now);
             }
--- a/crates/mangostep-entry/src/forward/sender.rs
+++ b/crates/mangostep-entry/src/forward/sender.rs
@@ -48,9 +48,12 @@
 /// Maximum number of servers that deny one request a token.
 const DENIALS_MAX: u32 = 12;
 
-/// Maximum number of servers that are asked for one request whether they are in
-/// cold start.
-const CHECKS_MAX: u32 = 4;
+/// Maximum number of checks that one request begins or waits for.
+const CHECKS_MAX: u32 = 6;
+
+/// Divisor of a request's remaining time: it waits for a check for a quarter of
+/// that at most.
+const WAIT_DIVISOR: u32 = 4;
 
 /// Maximum wait for a token of a server in cold start. Other hosts may use fewer
 /// of them.
@@ -129,6 +132,11 @@
             let choice = self.choose();
             let (key, entry) = match choice {
                 Ok(found) => found,
+                Err((ChoiceRefusal::Unchecked, _)) if checks < CHECKS_MAX => {
+                    checks += 1;
+                    self.wait_for_check().await;
+                    continue;
+                }
                 Err((reason, after)) => {
                     trace.detail = reason.as_str();
                     return self.give_up(last, after);
@@ -293,6 +301,15 @@
         pool.check_reason(key, now)
     }
 
+    /// Waits until another request of this host has asked a server whether it is
+    /// in cold start.
+    async fn wait_for_check(&self) {
+        let wait = self.context.pool.borrow().check_timeout();
+        let wait = wait.min(self.time_left() / WAIT_DIVISOR);
+        // Without an answer, the next choice finds no check pending.
+        let _ = timeout(wait, self.context.check_ended.notified()).await;
+    }
+
     /// Asks a server whether it is in cold start. Continues with another choice
     /// unless the server is known to be warm.
     async fn check(
--- a/crates/mangostep-entry/src/forward/server_check.rs
+++ b/crates/mangostep-entry/src/forward/server_check.rs
@@ -127,5 +127,6 @@
 impl Drop for PendingCheck<'_> {
     fn drop(&mut self) {
         self.context.pool.borrow_mut().end_check(self.key);
+        self.context.check_ended.notify_waiters();
     }
 }
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -7,7 +7,8 @@
     mangostep_http::RequestHead,
     mangostep_policy::{
         AllowanceSettings, HostRow, HostTable, HostTableSettings, LapseRule, LapseSettings,
-        LedgerSettings, PoolSettings, RetryAllowance, ServerPool, TokenLedger,
+        LedgerSettings, PauseDetector, PauseSettings, PoolSettings, RetryAllowance, ServerPool,
+        TokenLedger,
     },
     mangostep_telemetry::{HostCounters, LineLog, LineLogSettings},
     rand::RngExt,
@@ -66,6 +67,9 @@
 /// Interval between removals of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between the ticks by which the host detects that it was paused.
+const TICK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval between checks for in-flight requests during shutdown.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -121,6 +125,7 @@
     spawn_local(peers::receive(Rc::clone(&context)));
     spawn_local(peers::report(Rc::clone(&context)));
     spawn_local(sweep_connections(Rc::clone(&context)));
+    spawn_local(detect_pauses(Rc::clone(&context)));
     signals.wait_for_stop(&context.log).await;
     shut_down(&context).await;
     Ok(())
@@ -163,6 +168,7 @@
         snapshot: Default::default(),
         tables: TableStates::default().into(),
         lapse: LapseRule::open(LapseSettings::default()).into(),
+        pauses: PauseDetector::open(PauseSettings::default()).into(),
         pool: ServerPool::open(PoolSettings::default()).into(),
         hosts: HostTable::open(row, HostTableSettings::default(), clock::now()).into(),
         allowance: RetryAllowance::open(allowance).into(),
@@ -178,6 +184,7 @@
         received_bytes: Cell::new(0),
         in_flight_requests: Cell::new(0),
         store_failed: Cell::new(false),
+        check_ended: tokio::sync::Notify::new(),
         report_wake: tokio::sync::Notify::new(),
         settings,
     })
@@ -286,6 +293,17 @@
     }
 }
 
+async fn detect_pauses(context: Rc<HostContext>) {
+    loop {
+        let pause = context.pauses.borrow_mut().tick(clock::now());
+        if let Some(pause) = pause {
+            context.counters.count("host-paused", &[]);
+            warn!(context.log, "host paused"; "ms" => pause.as_millis() as u64);
+        }
+        tokio::time::sleep(TICK_INTERVAL).await;
+    }
+}
+
 async fn sweep_connections(context: Rc<HostContext>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -113,10 +113,11 @@
     for list in report.lists {
         hosts.record_list(&report.host, list, now);
     }
+    let is_delayed = context.pauses.borrow().may_be_delayed(now);
     let mut tables = context.tables.borrow_mut();
     for summary in report.tables {
         let own = tables.of_mut(summary.table);
-        if let Some(age_ms) = summary.age_ms {
+        if let Some(age_ms) = summary.age_ms.filter(|_| !is_delayed) {
             let confirmed = now - Duration::from_millis(age_ms.into());
             own.record_announcement(&summary, confirmed);
             if let Some(confirmed) = own
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod host_row;
 mod host_table;
 mod lapse_rule;
+mod pause_detector;
 mod peer_report;
 mod pool_settings;
 mod read_timer;
@@ -30,6 +31,7 @@
     host_row::HostRow,
     host_table::{HostTable, HostTableSettings},
     lapse_rule::{LapseRule, LapseSettings},
+    pause_detector::{PauseDetector, PauseSettings},
     peer_report::{PeerReport, ReceivedReport},
     pool_settings::PoolSettings,
     read_timer::{ReadState, ReadTimer},
--- a/crates/mangostep-policy/src/dispatch/server_pool/choosing.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/choosing.rs
@@ -52,6 +52,7 @@
         let mut best: Option<(f64, ServerKey)> = None;
         let mut refusal = ChoiceRefusal::NoServer;
         let mut shortest_wait = RETRY_AFTER_MAX;
+        let mut is_check_pending = false;
         let (mut cold_pick, mut cold_fallback) = (None, None);
         for key in keys
             .iter()
@@ -65,6 +66,12 @@
             if record.misdirected_until > now {
                 continue;
             }
+            let pending = record.check.pending_for(now);
+            if !pending.is_zero() {
+                is_check_pending = true;
+                shortest_wait = shortest_wait.min(pending);
+                continue;
+            }
             if let Some((reason, wait)) = self.held_back(record, request, now) {
                 if matches!(refusal, ChoiceRefusal::NoServer | ChoiceRefusal::AllCold) {
                     refusal = reason;
@@ -116,6 +123,9 @@
         match best {
             Some((_, key)) => ServerChoice::Send(key),
             None => {
+                if is_check_pending {
+                    refusal = ChoiceRefusal::Unchecked;
+                }
                 let spread = random.random_range(1.0..2.0);
                 let after = shortest_wait
                     .max(self.settings.shed_backoff)
--- a/crates/mangostep-policy/src/dispatch/server_pool/statements.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/statements.rs
@@ -150,10 +150,6 @@
             let duration = self.mean_duration(request.service);
             return Some((ChoiceRefusal::BackingOff, duration));
         }
-        let pending = record.check.pending_for(now);
-        if !pending.is_zero() {
-            return Some((ChoiceRefusal::Unchecked, pending));
-        }
         let denied = match record.cold_until > now || record.statements.rate_limit().is_some() {
             true => record.statements.denied_for(now),
             false => Duration::ZERO,
--- a/crates/mangostep-policy/tests/dispatch/main.rs
+++ b/crates/mangostep-policy/tests/dispatch/main.rs
@@ -11,6 +11,7 @@
 mod lapse_rule;
 mod leaving_servers;
 mod limited_servers;
+mod pause_detector;
 mod read_timer;
 mod retry_budget;
 mod table_copy;
--- a/crates/standins/tests/servers/cold_starts.rs
+++ b/crates/standins/tests/servers/cold_starts.rs
@@ -11,7 +11,7 @@
     tokio::time::{Instant, sleep},
 };
 
-use crate::{REQUEST_INTERVAL, arrivals_at, open_fleet_with, send_requests};
+use crate::{REQUEST_INTERVAL, arrivals_at, open_fleet_with, send_requests, send_requests_to};
 
 /// Requests per second that a server can handle in cold start.
 const COLD_RATE_PER_S: f64 = 1.0;
@@ -148,6 +148,34 @@
     fleet.close();
 }
 
+/// Hosts that wake up took what had arrived meanwhile for current, and sent the
+/// requests that had waited to servers that had turned cold.
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_server_is_spared_by_hosts_that_wake_up() {
+    const PAUSED: usize = 4;
+    let fleet = open_zone().await;
+    let paused = &fleet.hosts[fleet.hosts.len() - PAUSED..];
+    for host in paused {
+        host.signal(ProcessSignal::Stop);
+    }
+    sleep(Duration::from_millis(500)).await;
+    fleet.turn_cold(0, COLD_TIME + CONTACT_TIME);
+    fleet.write_cold_entry(0, "ready", COLD_TIME + CONTACT_TIME);
+    sleep(CONTACT_TIME).await;
+    let resumed = Instant::now() + REQUEST_INTERVAL;
+    let waiting = send_requests_to(paused, "waiting", Duration::from_secs(1));
+    let resuming = async {
+        sleep(Duration::from_millis(900)).await;
+        for host in paused {
+            host.signal(ProcessSignal::Continue);
+        }
+    };
+    let (served, ()) = tokio::join!(waiting, resuming);
+    assert_spared(&fleet, resumed, resumed + COLD_TIME);
+    assert!(served > 40, "the other servers serve: {served}");
+    fleet.close();
+}
+
 /// Health checks cost the servers slots: hosts in contact with the store send
 /// none.
 #[tokio::test(flavor = "multi_thread")]
