Ask a server before each request while no peer is heard

Callers saw bookings fail at a cold server behind a cut: hosts that were isolated from each other each relied for a second on a server's answer that it was warm, and chose the same servers. A host that hears no peer for 1.7 s now asks before each request; what peers share still counts for a second.

dispatch: isolated_host_asks_before_each_request.

--- a/crates/mangostep-entry/src/peers/receiving.rs
+++ b/crates/mangostep-entry/src/peers/receiving.rs
@@ -114,6 +114,9 @@
         hosts.record_list(&report.host, list, now);
     }
     let is_delayed = context.pauses.borrow().may_be_delayed(now);
+    if !is_delayed {
+        context.pool.borrow_mut().record_peer(now);
+    }
     let mut tables = context.tables.borrow_mut();
     for summary in report.tables {
         let own = tables.of_mut(summary.table);
--- a/crates/mangostep-policy/src/dispatch/server_pool/checks.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/checks.rs
@@ -16,6 +16,18 @@
         self.contact = self.contact.max(Some(at));
     }
 
+    /// Records that this host received a report of a peer.
+    pub fn record_peer(&mut self, now: MonotonicTime) {
+        self.heard = Some(now);
+    }
+
+    /// Whether this host no longer hears its peers, which would share what
+    /// servers state to them.
+    fn is_isolated(&self, now: MonotonicTime) -> bool {
+        let timeout = self.settings.peer_timeout;
+        self.heard.is_some_and(|at| now.since(at) >= timeout)
+    }
+
     /// Records that this host read the entries for the first time, while the
     /// rest of the fleet was serving.
     pub fn record_joining(&mut self, now: MonotonicTime) {
@@ -42,6 +54,10 @@
         if record.check.may_have_restarted() {
             return Some(CheckReason::Restarted);
         }
+        if self.is_isolated(now) {
+            // Several isolated hosts may rely on the same server.
+            return Some(CheckReason::OutOfContact);
+        }
         if record.check.has_stated_within(settings.check_ttl, now) {
             return None;
         }
--- a/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/mod.rs
@@ -90,6 +90,8 @@
     host_count: usize,
     /// When the entries were last known to be current.
     contact: Option<MonotonicTime>,
+    /// When this host last heard a peer; `None` if it never did.
+    heard: Option<MonotonicTime>,
     /// When this host read the entries for the first time.
     joined: Option<MonotonicTime>,
 }
--- a/crates/mangostep-policy/tests/dispatch/checked_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/checked_servers.rs
@@ -43,6 +43,22 @@
     assert_eq!(pool.check_reason(keys[0], at_ms(now + 1_200)), None);
 }
 
+/// Isolated hosts that each relied on an answer for a second sent 15 requests in
+/// one second to a server that had turned cold in that time.
+#[test]
+fn isolated_host_asks_before_each_request() {
+    let (mut pool, keys) = pool_of(1);
+    pool.record_peer(at_ms(0));
+    assert_eq!(pool.check_reason(keys[0], at_ms(1_600)), None);
+    for at in [1_800, 1_900, 2_000] {
+        let reason = pool.check_reason(keys[0], at_ms(at));
+        assert_eq!(reason, Some(CheckReason::OutOfContact));
+        pool.record_cold_left(keys[0], Duration::ZERO, at_ms(at));
+    }
+    pool.record_peer(at_ms(2_100));
+    assert_eq!(pool.check_reason(keys[0], at_ms(2_200)), None);
+}
+
 /// The answer of a cold server takes it out of the choice, apart from what it
 /// can handle.
 #[test]
