--- a/crates/mangostep-entry/src/back/attempt.rs
+++ b/crates/mangostep-entry/src/back/attempt.rs
@@ -40,8 +40,9 @@
     /// The complete encoded request.
     pub(crate) bytes: Bytes,
     pub(crate) is_head_request: bool,
-    /// Name and value of the id header that the server echoes.
-    pub(crate) echoed: Option<(&'a str, &'a str)>,
+    /// Name of the id header that the server echoes, and the id of the request;
+    /// `None` if it has none.
+    pub(crate) echoed: Option<(&'a str, Option<&'a str>)>,
     pub(crate) deadline: Instant,
 }
 
@@ -272,17 +273,19 @@
 /// Whether a response belongs to the request, based on the echoed id. A
 /// successful response must echo the id. An error response from the server's
 /// listener may lack it, but only if the request is the first one on its
-/// connection: the server may repeat the refusal of an earlier one.
+/// connection: the server may repeat the refusal of an earlier one. A request
+/// without an id gets a response without one.
 fn belongs_to_request(
     answer: &ServerResponse,
-    echoed: Option<(&str, &str)>,
+    echoed: Option<(&str, Option<&str>)>,
     is_first: bool,
 ) -> bool {
     let Some((header, id)) = echoed else {
         return true;
     };
-    match answer.head.header(header) {
-        Some(other) => other == id,
-        None => is_first && !answer.head.status.is_success(),
+    match (answer.head.header(header), id) {
+        (other, None) => other.is_none(),
+        (Some(other), Some(id)) => other == id,
+        (None, Some(_)) => is_first && !answer.head.status.is_success(),
     }
 }
--- a/crates/mangostep-entry/src/forward/sender.rs
+++ b/crates/mangostep-entry/src/forward/sender.rs
@@ -20,12 +20,13 @@
         outgoing::{OutgoingHeaders, end_to_end, outgoing_request},
         refusal::{FrontResponse, Refusal},
         request::{ForwardRequest, PlannedRequest, RequestTrace, is_idempotent},
-        server_check::ServerCheck,
+        server_check::{ServerCheck, check_time},
     },
     peers,
     platform::FleetTable,
     prelude::*,
     statements::record_own_statement,
+    suspicion::{SuspicionCause, log_suspicion_change},
 };
 
 /// Header with the request id, which is logged with each line about the
@@ -51,10 +52,6 @@
 /// Maximum number of checks that one request begins or waits for.
 const CHECKS_MAX: u32 = 6;
 
-/// Divisor of a request's remaining time: it waits for a check for a quarter of
-/// that at most.
-const WAIT_DIVISOR: u32 = 4;
-
 /// Maximum wait for a token of a server in cold start. Other hosts may use fewer
 /// of them.
 const COLD_DENIAL_MAX: Duration = Duration::from_millis(500);
@@ -304,8 +301,7 @@
     /// Waits until another request of this host has asked a server whether it is
     /// in cold start.
     async fn wait_for_check(&self) {
-        let wait = self.context.pool.borrow().check_timeout();
-        let wait = wait.min(self.time_left() / WAIT_DIVISOR);
+        let wait = check_time(self.context, self.time_left());
         // Without an answer, the next choice finds no check pending.
         let _ = timeout(wait, self.context.check_ended.notified()).await;
     }
@@ -329,7 +325,13 @@
             self.tried.push(key);
             let now = clock::now();
             let mut pool = self.context.pool.borrow_mut();
-            pool.record_own_outcome(key, signal, now, now);
+            let change = pool.record_own_outcome(key, signal, now, now);
+            let cause = SuspicionCause {
+                signal,
+                age: Duration::ZERO,
+                seen_by: &self.context.settings.host,
+            };
+            log_suspicion_change(self.context, &pool, key, change, &cause);
             return ControlFlow::Continue(());
         }
         match self.context.pool.borrow().is_cold(key, clock::now()) {
@@ -391,7 +393,7 @@
             kind: planned.route.kind,
             bytes: outgoing_request(head, &self.request.caller_request.body, &outgoing),
             is_head_request: head.method == http::Method::HEAD,
-            echoed: id.map(|id| (dialect.id_header.as_str(), id)),
+            echoed: id.map(|id| (dialect.id_header.as_str(), Some(id))),
             deadline: planned.deadline - RESPONSE_MARGIN.min(self.time_left() / 4),
         };
         let in_flight = InFlightRequest::open(self.context, key);
--- a/crates/mangostep-entry/src/forward/server_check.rs
+++ b/crates/mangostep-entry/src/forward/server_check.rs
@@ -20,6 +20,13 @@
 /// Divisor of a request's remaining time: a check takes a quarter of it at most.
 const TIME_LEFT_DIVISOR: u32 = 4;
 
+/// Maximum time that a request with `time_left` until its deadline waits for the
+/// answer to a check.
+pub(crate) fn check_time(context: &HostContext, time_left: Duration) -> Duration {
+    let timeout = context.pool.borrow().check_timeout();
+    timeout.min(time_left / TIME_LEFT_DIVISOR)
+}
+
 /// A server to check, before a request is sent to it.
 pub(crate) struct ServerCheck<'a> {
     pub(crate) key: ServerKey,
@@ -32,14 +39,15 @@
 
 impl ServerCheck<'_> {
     /// Asks the server's health path for the rest of its cold start, and records
-    /// the answer. Without one, `signal` says what that shows about the server.
+    /// the answer. Whether the server calls itself healthy is not considered:
+    /// failing servers often do.
     ///
-    /// Whether the server calls itself healthy is not considered: failing
-    /// servers often do.
+    /// # Errors
+    ///
+    /// Without an answer of the server, returns what that shows about it.
     pub(crate) async fn run(self, context: &HostContext) -> Result<(), ServerSignal> {
         let started = clock::now();
-        let timeout = context.pool.borrow().check_timeout();
-        let timeout = timeout.min(self.time_left / TIME_LEFT_DIVISOR);
+        let timeout = check_time(context, self.time_left);
         context.pool.borrow_mut().begin_check(self.key, started);
         let pending = PendingCheck {
             context,
@@ -51,7 +59,8 @@
             kind: RequestKind::Idempotent,
             bytes: encode_check(&self.service.dialect, self.entry).freeze(),
             is_head_request: false,
-            echoed: None,
+            // A late answer to an earlier request has the id of that one.
+            echoed: Some((&self.service.dialect.id_header, None)),
             deadline: Instant::now() + timeout,
         };
         let outcome = attempt(context, request).await;
@@ -81,10 +90,6 @@
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             return Err(ServerSignal::Misdirected);
         }
-        let is_late_answer = head.header(&dialect.id_header).is_some();
-        if is_late_answer {
-            return Err(ServerSignal::Nothing);
-        }
         record_own_statement(context, self.key, self.entry, head);
         if head.headers.contains_key(dialect.not_run_header.as_str()) {
             return Err(ServerSignal::Shed);
