Count request bodies against the host's memory while they are received

Memory is now reserved from the head on: the declared length, or what a chunked body has allocated. A request that finds no room is refused at once with 503 and Retry-After, truly not run; what it still sends is read and dropped for a second, since a reset could lose the response. A body with a declared length takes just that, where it took up to twice as much.

--- a/crates/mangostep-entry/src/front/connection.rs
+++ b/crates/mangostep-entry/src/front/connection.rs
@@ -22,15 +22,23 @@
     clock,
     context::HostPhase,
     forward::{ForwardRequest, FrontResponse, Refusal, forward},
+    front::body_memory::BodyReservation,
     prelude::*,
 };
 
 /// Maximum number of in-flight requests of one connection.
 const PIPELINE_MAX: usize = 16;
 
-/// Divisor of the host's memory: a quarter of it may hold the bodies of
-/// in-flight requests.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Time after which a caller may return whose body found no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Time for which the rest of a body that found no memory is read and dropped.
+/// Closing the connection at once would reset it, and the caller might lose the
+/// response.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// Size of the buffer for such bytes.
+const DISCARD_BUFFER_BYTES: usize = 16 << 10;
 
 /// Timeout for writing a response to a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -59,6 +67,10 @@
     is_abandoned: Rc<Cell<bool>>,
     /// Whether no further request is read.
     is_last: bool,
+    /// Memory for the body that is being received.
+    receiving: Option<BodyReservation>,
+    /// Whether the rest of a body is dropped unread.
+    discards_rest: bool,
     timer: ReadTimer,
 }
 
@@ -83,6 +95,8 @@
         pending: FuturesOrdered::new(),
         is_abandoned: Rc::default(),
         is_last: false,
+        receiving: None,
+        discards_rest: false,
         timer: ReadTimer::open(clock::now()),
     };
     connection.run(stream).await;
@@ -92,6 +106,10 @@
     async fn run(mut self, mut stream: TcpStream) {
         let end = self.serve(&mut stream).await;
         self.is_abandoned.set(true);
+        if self.discards_rest && end.is_ok() {
+            // The response was written; the caller may not read it.
+            let _ = timeout(DISCARD_TIME, discard_rest(&mut stream)).await;
+        }
         if let Err(err) = end
             && err.kind() != io::ErrorKind::UnexpectedEof
         {
@@ -155,6 +173,7 @@
         while !self.is_last && self.pending.len() < PIPELINE_MAX {
             match self.decoder.decode(&mut self.buffer) {
                 Ok(Some(request)) => self.start(request),
+                Ok(None) if !self.reserve_body() => self.refuse_body(),
                 Ok(None) => {
                     if self.decoder.take_continue() && self.pending.is_empty() {
                         stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
@@ -172,7 +191,10 @@
         let is_head_request = request.head.method == Method::HEAD;
         self.is_last = !keeps_connection;
         let context = Rc::clone(&self.context);
-        let reservation = BodyReservation::open(&context, request.body.len() as u64);
+        let reservation = self.receiving.take();
+        let mut reservation = reservation.unwrap_or_else(|| BodyReservation::open(&context));
+        let has_memory = reservation.resize(request.body.len() as u64);
+        let in_flight = InFlightCount::open(&context);
         let request = ForwardRequest {
             caller_request: request,
             arrived: Instant::now(),
@@ -180,11 +202,11 @@
         };
         let is_cancellable = self.is_cancellable(&request.caller_request);
         let response = async move {
-            let _reservation = match reservation {
-                Some(reservation) => reservation,
-                None => return Refusal::NoCapacity(Duration::from_millis(500)).response(),
-            };
-            forward(&context, request).await
+            let _held = (reservation, in_flight);
+            match has_memory {
+                true => forward(&context, request).await,
+                false => Refusal::NoCapacity(MEMORY_RETRY_AFTER).response(),
+            }
         };
         self.pending.push_back(Box::pin(async move {
             let response = match is_cancellable {
@@ -203,6 +225,42 @@
         }));
     }
 
+    /// Reserves memory for the body that is being received. Returns whether the
+    /// host's memory suffices.
+    fn reserve_body(&mut self) -> bool {
+        let bytes = self.decoder.body_memory();
+        if bytes == 0 {
+            return true;
+        }
+        let context = &self.context;
+        let reservation = self
+            .receiving
+            .get_or_insert_with(|| BodyReservation::open(context));
+        reservation.resize(bytes)
+    }
+
+    /// Refuses the request whose body is being received, which no server got.
+    fn refuse_body(&mut self) {
+        self.context.counters.count("body-refused", &[]);
+        info!(self.context.log, "request body refused"; "bytes" => self.decoder.body_memory(),
+            "buffered_bytes" => self.context.buffered_bytes.get());
+        self.receiving = None;
+        self.discards_rest = true;
+        self.push_last(Refusal::NoCapacity(MEMORY_RETRY_AFTER).response());
+    }
+
+    /// Queues the last response of the connection.
+    fn push_last(&mut self, response: FrontResponse) {
+        self.is_last = true;
+        let finished = FinishedRequest {
+            response,
+            is_head_request: false,
+            keeps_connection: false,
+        };
+        self.pending
+            .push_back(Box::pin(std::future::ready(finished)));
+    }
+
     /// Whether the request may be cancelled when its caller disconnects.
     fn is_cancellable(&self, request: &CallerRequest) -> bool {
         let Some(snapshot) = self.context.snapshot() else {
@@ -220,19 +278,11 @@
             MessageFault::Malformed { .. } | MessageFault::Truncated => StatusCode::BAD_REQUEST,
         };
         info!(self.context.log, "request not read"; "reason" => fault.to_string());
-        self.is_last = true;
-        let response = FrontResponse {
+        self.push_last(FrontResponse {
             status,
             headers: HeaderMap::new(),
             body: Bytes::new(),
-        };
-        let finished = FinishedRequest {
-            response,
-            is_head_request: false,
-            keeps_connection: false,
-        };
-        self.pending
-            .push_back(Box::pin(std::future::ready(finished)));
+        });
     }
 
     async fn write(
@@ -266,35 +316,27 @@
     }
 }
 
-/// Reservation of memory for the body of an in-flight request.
-struct BodyReservation {
-    context: Rc<HostContext>,
-    bytes: u64,
+/// Reads and drops what the caller still sends.
+async fn discard_rest(stream: &mut TcpStream) -> io::Result<()> {
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+    while stream.read(&mut buffer).await? > 0 {}
+    Ok(())
 }
 
-impl BodyReservation {
-    fn open(context: &Rc<HostContext>, bytes: u64) -> Option<Self> {
-        let limit = (context.settings.memory_mb << 20) / BODY_MEMORY_DIVISOR;
-        let buffered = context.buffered_bytes.get() + bytes;
-        if buffered > limit {
-            return None;
-        }
-        context.buffered_bytes.set(buffered);
-        context
-            .in_flight_requests
-            .set(context.in_flight_requests.get() + 1);
-        Some(BodyReservation {
-            context: Rc::clone(context),
-            bytes,
-        })
+/// Counts a request as in flight until it is dropped.
+struct InFlightCount(Rc<HostContext>);
+
+impl InFlightCount {
+    fn open(context: &Rc<HostContext>) -> Self {
+        let requests = &context.in_flight_requests;
+        requests.set(requests.get() + 1);
+        InFlightCount(Rc::clone(context))
     }
 }
 
-impl Drop for BodyReservation {
+impl Drop for InFlightCount {
     fn drop(&mut self) {
-        let buffered = self.context.buffered_bytes.get();
-        self.context.buffered_bytes.set(buffered - self.bytes);
-        let requests = &self.context.in_flight_requests;
+        let requests = &self.0.in_flight_requests;
         requests.set(requests.get() - 1);
     }
 }
--- a/crates/mangostep-entry/src/front/mod.rs
+++ b/crates/mangostep-entry/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Connections from callers.
 
+mod body_memory;
 mod connection;
 mod listening;
 pub(crate) mod pages;
--- a/crates/mangostep-http/src/body.rs
+++ b/crates/mangostep-http/src/body.rs
@@ -105,6 +105,16 @@
         }
     }
 
+    /// Bytes of memory that the body takes: its declared length, or the memory
+    /// allocated so far.
+    pub(crate) fn memory(&self) -> u64 {
+        let declared = match self.state {
+            BodyState::Length(remaining) => self.body.len() as u64 + remaining,
+            _ => 0,
+        };
+        declared.max(self.body.capacity() as u64)
+    }
+
     /// Returns the body if it is framed by the end of the connection.
     pub(crate) fn finish(&mut self) -> Option<Bytes> {
         (self.state == BodyState::UntilClose).then(|| self.take_body())
@@ -125,9 +135,13 @@
         if self.body.len() as u64 + length as u64 > self.limit {
             return Err(MessageFault::BodyTooLarge);
         }
-        if self.body.is_empty() {
+        if self.body.is_empty() && length as u64 == wanted {
             self.body = buffer.split_to(length);
         } else {
+            if let (BodyState::Length(_), true) = (self.state, self.body.is_empty()) {
+                // Growing by doubling would take up to twice the memory.
+                self.body.reserve(usize::try_from(wanted).unwrap_or(length));
+            }
             self.body.extend_from_slice(&buffer[..length]);
             buffer.advance(length);
         }
--- a/crates/mangostep-http/src/request.rs
+++ b/crates/mangostep-http/src/request.rs
@@ -66,6 +66,12 @@
         self.partial.is_some()
     }
 
+    /// Bytes of memory that the body of the current request takes, or will take
+    /// once it is complete; 0 before its head has been read.
+    pub fn body_memory(&self) -> u64 {
+        self.partial.as_ref().map_or(0, |(_, body)| body.memory())
+    }
+
     /// Whether a `100 Continue` response is due before the caller sends the
     /// body; `true` only once per request.
     pub fn take_continue(&mut self) -> bool {
--- a/crates/mangostep/tests/entry.rs
+++ b/crates/mangostep/tests/entry.rs
@@ -5,6 +5,8 @@
 mod fixture;
 #[path = "entry/odd_servers.rs"]
 mod odd_servers;
+#[path = "entry/uploads.rs"]
+mod uploads;
 
 use std::time::Duration;
 
--- a/crates/mangostep/tests/entry/fixture.rs
+++ b/crates/mangostep/tests/entry/fixture.rs
@@ -116,6 +116,11 @@
         self.fleet.log.abandoned()
     }
 
+    /// Peak of the host's resident memory, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        self.fleet.hosts[0].peak_memory().expect("the host runs")
+    }
+
     /// Address at which the host accepts callers.
     pub fn front(&self) -> SocketAddr {
         self.fleet.hosts[0].addresses().front
--- a/crates/standins/src/entry_fleet/host.rs
+++ b/crates/standins/src/entry_fleet/host.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 
 use crate::{
-    CallerConnection, RequestSpec, StandinError,
+    CallerConnection, ProcessUsage, RequestSpec, StandinError,
     fleet::{FleetProcess, ProcessPlan, ProcessSignal},
     proxy::ProxyHandle,
 };
@@ -148,6 +148,16 @@
             .is_some_and(FleetProcess::is_running)
     }
 
+    /// Peak resident memory of the process, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not run.
+    pub fn peak_memory(&self) -> Result<u64, StandinError> {
+        let pid = self.process().as_ref().map_or(0, FleetProcess::pid);
+        ProcessUsage::of(pid).map(|usage| usage.peak_bytes)
+    }
+
     /// Sends a signal to the process; does nothing before the first start.
     pub fn signal(&self, signal: ProcessSignal) {
         if let Some(process) = self.process().as_mut() {
--- a/crates/standins/src/entry_fleet/mod.rs
+++ b/crates/standins/src/entry_fleet/mod.rs
@@ -42,6 +42,8 @@
     pub retry_ratio: f64,
     /// Additional retries allowed over all hosts.
     pub retry_slack: f64,
+    /// Memory of each host, in MiB.
+    pub memory_mb: u64,
 }
 
 impl Default for EntryBounds {
@@ -50,6 +52,7 @@
             stop_grace: Duration::from_secs(6),
             retry_ratio: 0.2,
             retry_slack: 62.0,
+            memory_mb: 512,
         }
     }
 }
@@ -175,6 +178,7 @@
                 "front": addresses.front, "ready": addresses.ready, "lookup": addresses.lookup,
                 "copies": addresses.copies, "peer": addresses.peer,
                 "metrics": addresses.metrics, "seeds": seeds, "store": proxy.to_string(),
+                "memory_mb": bounds.memory_mb,
                 "bounds": {
                     "stop_grace_s": bounds.stop_grace.as_secs_f64(),
                     "retry_ratio": bounds.retry_ratio, "retry_slack": bounds.retry_slack,
