--- a/crates/mangostep-entry/src/front/connection.rs
+++ b/crates/mangostep-entry/src/front/connection.rs
@@ -159,6 +159,7 @@
         let state = match (self.pending.is_empty(), self.decoder.has_head()) {
             (true, false) if self.buffer.is_empty() => ReadState::Idle,
             (true, false) => ReadState::Head,
+            (true, true) => ReadState::Body(self.decoder.body_received()),
             _ => ReadState::Busy,
         };
         let now = clock::now();
--- a/crates/mangostep-http/src/body.rs
+++ b/crates/mangostep-http/src/body.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Bytes of the body that have been received.
+    pub(crate) fn received(&self) -> u64 {
+        self.body.len() as u64
+    }
+
     /// Bytes of memory that the body takes: its declared length, or the memory
     /// allocated so far.
     pub(crate) fn memory(&self) -> u64 {
--- a/crates/mangostep-http/src/request.rs
+++ b/crates/mangostep-http/src/request.rs
@@ -66,6 +66,11 @@
         self.partial.is_some()
     }
 
+    /// Bytes of the current request's body that have been received.
+    pub fn body_received(&self) -> u64 {
+        self.partial.as_ref().map_or(0, |(_, body)| body.received())
+    }
+
     /// Bytes of memory that the body of the current request takes, or will take
     /// once it is complete; 0 before its head has been read.
     pub fn body_memory(&self) -> u64 {
--- a/crates/mangostep-policy/src/dispatch/read_timer.rs
+++ b/crates/mangostep-policy/src/dispatch/read_timer.rs
@@ -9,7 +9,10 @@
     Idle,
     /// The rest of a request head.
     Head,
-    /// The rest of a body, which the caller's deadline bounds, or a response.
+    /// The rest of a body, of which so many bytes have been received. Memory is
+    /// reserved for the whole body.
+    Body(u64),
+    /// A response.
     Busy,
 }
 
@@ -42,12 +45,14 @@
     }
 
     /// Whether the connection has waited for longer than `idle` without a
-    /// request or `head` within a request head, and must be closed.
+    /// request or the next byte of a body, or `head` within a request head, and
+    /// must be closed.
     pub fn is_expired(&self, idle: Duration, head: Duration, now: MonotonicTime) -> bool {
         let age = now.since(self.since);
         match self.state {
             ReadState::Idle => age > idle,
             ReadState::Head => age > head,
+            ReadState::Body(_) => age > idle,
             ReadState::Busy => false,
         }
     }
--- a/crates/mangostep-policy/tests/dispatch/read_timer.rs
+++ b/crates/mangostep-policy/tests/dispatch/read_timer.rs
@@ -25,3 +25,16 @@
     assert!(!timer.is_expired(IDLE, HEAD, at_ms(15_000)));
     assert!(timer.is_expired(IDLE, HEAD, at_ms(15_001)));
 }
+
+/// A caller announced a long body and sent nothing more: the memory for it stayed
+/// reserved.
+#[test]
+fn body_that_stops_is_given_up_after_the_idle_timeout() {
+    let mut timer = ReadTimer::open(at_ms(0));
+    for second in 0..60 {
+        timer.set(ReadState::Body(second), at_ms(second * 1_000));
+        assert!(!timer.is_expired(IDLE, HEAD, at_ms(second * 1_000 + 999)));
+    }
+    timer.set(ReadState::Body(59), at_ms(70_000));
+    assert!(timer.is_expired(IDLE, HEAD, at_ms(74_001)));
+}
