--- a/crates/mangostep-entry/src/follow/apply.rs
+++ b/crates/mangostep-entry/src/follow/apply.rs
@@ -122,9 +122,11 @@
         FleetTable::Servers => {
             let entry = platform.decode_server_row(key, value).ok();
             let is_cold = |entry: &ServerEntry| !entry.cold_left.is_zero();
-            let heartbeat = entry.as_ref().filter(|entry| is_cold(entry));
-            let heartbeat = heartbeat.and_then(|_| copy.row_version(key));
-            xxh3_64(format!("{key} {entry:?} {heartbeat:?}").as_bytes())
+            let cold_version = match entry.as_ref().is_some_and(is_cold) {
+                true => copy.row_version(key),
+                false => None,
+            };
+            xxh3_64(format!("{key} {entry:?} {cold_version:?}").as_bytes())
         }
         FleetTable::Operator | FleetTable::Hosts => xxh3_64(key.as_bytes()) ^ xxh3_64(value),
     });
--- a/crates/mangostep-http/src/body.rs
+++ b/crates/mangostep-http/src/body.rs
@@ -143,7 +143,8 @@
         if self.body.is_empty() && length as u64 == wanted {
             self.body = buffer.split_to(length);
         } else {
-            if let (BodyState::Length(_), true) = (self.state, self.body.is_empty()) {
+            let has_length = matches!(self.state, BodyState::Length(_));
+            if has_length && self.body.is_empty() {
                 // Growing by doubling would take up to twice the memory.
                 self.body.reserve(usize::try_from(wanted).unwrap_or(length));
             }
