Let requests that waited for a check use its answer on isolated hosts

Callers of a host that woke up were refused although servers could serve them: each request of an isolated host asked for itself, one after another at each server, and gave up after six checks.

--- a/crates/mangostep-policy/src/dispatch/pool_settings.rs
+++ b/crates/mangostep-policy/src/dispatch/pool_settings.rs
@@ -91,9 +91,11 @@
     /// Time after which a change of an entry is known to all hosts that the store
     /// or a peer keeps current.
     pub entry_delay: Duration,
-    /// Time without a report of any peer after which a host is isolated. It asks
-    /// servers before each request.
+    /// Time without a report of any peer after which a host is isolated.
     pub peer_timeout: Duration,
+    /// Like `check_ttl`, for an isolated host. An answer counts for the requests
+    /// that waited for it.
+    pub isolated_check_ttl: Duration,
     /// Time for which a host out of contact relies on a server's statement that
     /// it is not in cold start.
     pub check_ttl: Duration,
@@ -146,6 +148,7 @@
             cold_rate_share: 0.75,
             entry_delay: Duration::from_millis(2_500),
             peer_timeout: Duration::from_millis(1_700),
+            isolated_check_ttl: Duration::from_millis(100),
             check_ttl: Duration::from_secs(1),
             check_timeout: Duration::from_millis(300),
             check_cost: Duration::from_millis(40),
--- a/crates/mangostep-policy/src/dispatch/server_pool/checks.rs
+++ b/crates/mangostep-policy/src/dispatch/server_pool/checks.rs
@@ -54,15 +54,17 @@
         if record.check.may_have_restarted() {
             return Some(CheckReason::Restarted);
         }
-        if self.is_isolated(now) {
-            // Several isolated hosts may rely on the same server.
-            return Some(CheckReason::OutOfContact);
-        }
-        if record.check.has_stated_within(settings.check_ttl, now) {
+        // Several isolated hosts may rely on the same server.
+        let is_isolated = self.is_isolated(now);
+        let ttl = match is_isolated {
+            true => settings.isolated_check_ttl,
+            false => settings.check_ttl,
+        };
+        if record.check.has_stated_within(ttl, now) {
             return None;
         }
         let delay = settings.entry_delay;
-        if self.contact.is_none_or(|at| now.since(at) >= delay) {
+        if is_isolated || self.contact.is_none_or(|at| now.since(at) >= delay) {
             return Some(CheckReason::OutOfContact);
         }
         let is_joining = self.joined.is_some_and(|at| now.since(at) < delay);
