--- a/crates/mangostep-policy/tests/dispatch/cold_servers.rs
+++ b/crates/mangostep-policy/tests/dispatch/cold_servers.rs
@@ -3,8 +3,9 @@
 use {
     mangostep_objects::RequestKind,
     mangostep_policy::{
-        AllowanceSettings, ChoiceRequest, LedgerRequest, LedgerSettings, PoolSettings,
-        RetryAllowance, ServerChoice, ServerEntry, ServerPool, TokenLedger, TokenVerdict,
+        AllowanceSettings, ChoiceRequest, LedgerRequest, LedgerSettings, MonotonicTime,
+        PoolSettings, RetryAllowance, ServerChoice, ServerEntry, ServerKey, ServerPool,
+        TokenLedger, TokenVerdict,
     },
     rand::{SeedableRng, rngs::SmallRng},
 };
@@ -30,6 +31,19 @@
     }
 }
 
+/// Returns the server that a host chooses, if any.
+fn choose(
+    pool: &ServerPool,
+    request: ChoiceRequest<'_>,
+    random: &mut SmallRng,
+    now: MonotonicTime,
+) -> Option<ServerKey> {
+    match pool.choose(request, Some(COLD_RATE_PER_S), |_| true, random, now) {
+        ServerChoice::Send(key) => Some(key),
+        ServerChoice::Refuse(..) => None,
+    }
+}
+
 /// Returns the number of requests from all hosts to each server in each
 /// second, while all but `warm` of the servers are cold. Hosts in the look-up
 /// answers notify each other of the requests that they start.
@@ -61,14 +75,8 @@
             } else {
                 (1.0, false)
             };
-            let choice = pools[host].choose(
-                request_at(rate, sees_peers),
-                Some(COLD_RATE_PER_S),
-                |_| true,
-                &mut random,
-                now,
-            );
-            let ServerChoice::Send(key) = choice else {
+            let request = request_at(rate, sees_peers);
+            let Some(key) = choose(&pools[host], request, &mut random, now) else {
                 continue;
             };
             let id = pools[host].entry(key).expect("it was chosen").id.clone();
@@ -136,14 +144,8 @@
         // Four requests per host in its first second.
         for request in 0..4 {
             let now = at_ms(request * 250 + host);
-            let choice = pool.choose(
-                request_at(0.2, false),
-                Some(COLD_RATE_PER_S),
-                |_| true,
-                &mut random,
-                now,
-            );
-            let ServerChoice::Send(key) = choice else {
+            let request = request_at(0.2, false);
+            let Some(key) = choose(&pool, request, &mut random, now) else {
                 continue;
             };
             let id = &pool.entry(key).expect("it was chosen").id;
@@ -186,14 +188,8 @@
             let now = at_ms(request * 80 + host as u64 % 80);
             allowance.record_request("ledger", now);
             let rate = allowance.request_rate("ledger", now);
-            let choice = pool.choose(
-                request_at(rate, false),
-                Some(COLD_RATE_PER_S),
-                |_| true,
-                &mut random,
-                now,
-            );
-            let ServerChoice::Send(key) = choice else {
+            let request = request_at(rate, false);
+            let Some(key) = choose(pool, request, &mut random, now) else {
                 continue;
             };
             let id = &pool.entry(key).expect("it was chosen").id;
@@ -295,14 +291,8 @@
     for step in 0..2_160_u64 {
         let now = at_ms(step * 1_000 / 216);
         let (pool, ledger) = &mut hosts[step as usize % CUT_OFF];
-        let choice = pool.choose(
-            request_at(1.0, true),
-            Some(COLD_RATE_PER_S),
-            |_| true,
-            &mut random,
-            now,
-        );
-        let ServerChoice::Send(key) = choice else {
+        let request = request_at(1.0, true);
+        let Some(key) = choose(pool, request, &mut random, now) else {
             continue;
         };
         let limit = pool.rate_limit(key, Some(COLD_RATE_PER_S), now);
