--- a/review/tools-2/src/main.rs
+++ b/review/tools-2/src/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod lost;
 mod memory;
+mod pipeline;
 mod store;
 
 use std::{
@@ -71,6 +72,7 @@
     let folder = Folder::open();
     let result = folder.and_then(|folder| match case.as_str() {
         "lost" => lost::run(&record, &folder, has_trouble),
+        "pipeline" => pipeline::run(&record, &folder, has_trouble),
         "memory" => memory::run(&record, &folder, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
