--- a/review/tools-2/src/client.rs
+++ b/review/tools-2/src/client.rs
@@ -10,9 +10,11 @@
 
 use crate::http::{read_head, Head};
 
-/// Segment size of a link of Ethernet, and a small window, as links have it.
+/// Segment size of a link of Ethernet.
 const SEGMENT_BYTES: i32 = 1_400;
-const RECEIVE_BYTES: i32 = 8 << 10;
+
+/// Receive buffer of a client, which the kernel doubles.
+pub const RECEIVE_BYTES: i32 = 8 << 10;
 
 #[repr(C)]
 struct SocketAddress {
@@ -30,8 +32,8 @@
 }
 
 /// Connects like a client on a link of Ethernet: with its segment size and a
-/// small receive buffer, instead of those of the loopback interface.
-pub fn open(address: SocketAddr) -> io::Result<TcpStream> {
+/// small window, instead of those of the loopback interface.
+pub fn open(address: SocketAddr, receive_bytes: i32) -> io::Result<TcpStream> {
     let SocketAddr::V4(address) = address else {
         return Err(io::ErrorKind::Unsupported.into());
     };
@@ -43,7 +45,7 @@
             return Err(io::Error::last_os_error());
         }
         let stream = TcpStream::from_raw_fd(raw);
-        for (level, name, value) in [(6, 2, SEGMENT_BYTES), (1, 8, RECEIVE_BYTES)] {
+        for (level, name, value) in [(6, 2, SEGMENT_BYTES), (1, 8, receive_bytes)] {
             if setsockopt(raw, level, name, &value, 4) < 0 {
                 return Err(io::Error::last_os_error());
             }
--- a/review/tools-2/src/lost.rs
+++ b/review/tools-2/src/lost.rs
@@ -20,7 +20,11 @@
 const CONFIG: &str = r#"{"version":"r3","routes":[{"name":"certs","host":"app.example","pathPrefix":"/certs/","routeType":"download","timeoutS":8,"targetLatencyS":6,"priority":2,"service":"docs","attempts":2,"public":false}],"services":[{"name":"docs","healthCheckPath":"/health","maxConnections":390}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":5,"idleTimeoutS":10},"tenants":[{"name":"north","apiKeys":["north-key"],"ratePerS":0,"burst":0}]}"#;
 const BOUNDS: &str = r#""stop_grace_s": 6, "lookup_keep_max_s": 5, "retry_ratio": 0.2, "retry_slack": 62, "retry_window_s": 10, "limit_window_s": 5, "limit_overshoot": 0.1, "limit_slack": 20"#;
 
-const ANSWER_BYTES: usize = 8 << 20;
+/// Receive buffer of the clients: what the kernels hold is not cut off with the
+/// process, and the smaller the window, the less they hold.
+const RECEIVE_BYTES: i32 = 2 << 10;
+
+const ANSWER_BYTES: usize = 4 << 20;
 
 /// Time from the stop signal until a client has read its answer, for each
 /// client. All lie before the end of the grace period.
@@ -71,7 +75,7 @@
     // The clients connect before the stop, and use their open connections.
     let mut streams = Vec::new();
     for _ in READ_BY {
-        streams.push(client::open(plans[0].front)?);
+        streams.push(client::open(plans[0].front, RECEIVE_BYTES)?);
     }
     thread::sleep(Duration::from_millis(300));
     let stopped = Instant::now();
--- a/review/tools-2/src/memory.rs
+++ b/review/tools-2/src/memory.rs
@@ -19,21 +19,23 @@
     Folder, Record,
 };
 
-const CONFIG: &str = r#"{"version":"r3","routes":[{"name":"certs","host":"app.example","pathPrefix":"/certs/","routeType":"download","timeoutS":8,"targetLatencyS":6,"priority":2,"service":"docs","attempts":2,"public":false},{"name":"book","host":"app.example","pathPrefix":"/book/","routeType":"non_idempotent","timeoutS":2.5,"targetLatencyS":0.8,"priority":1,"service":"bind","attempts":1,"public":false}],"services":[{"name":"docs","healthCheckPath":"/health","maxConnections":390},{"name":"bind","healthCheckPath":"/health","maxConnections":390}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":5,"idleTimeoutS":10},"tenants":[{"name":"north","apiKeys":["north-key"],"ratePerS":0,"burst":0}]}"#;
+const CONFIG: &str = r#"{"version":"r3","routes":[{"name":"certs","host":"app.example","pathPrefix":"/certs/","routeType":"download","timeoutS":10,"targetLatencyS":6,"priority":2,"service":"docs","attempts":2,"public":false},{"name":"book","host":"app.example","pathPrefix":"/book/","routeType":"non_idempotent","timeoutS":2.5,"targetLatencyS":0.8,"priority":1,"service":"bind","attempts":1,"public":false}],"services":[{"name":"docs","healthCheckPath":"/health","maxConnections":390},{"name":"bind","healthCheckPath":"/health","maxConnections":390}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":5,"idleTimeoutS":10},"tenants":[{"name":"north","apiKeys":["north-key"],"ratePerS":0,"burst":0}]}"#;
 const BOUNDS: &str = r#""stop_grace_s": 6, "lookup_keep_max_s": 5, "retry_ratio": 0.2, "retry_slack": 62, "retry_window_s": 10, "limit_window_s": 5, "limit_overshoot": 0.1, "limit_slack": 20"#;
 
 /// Memory of a machine of the small deployments.
 const MEMORY_MB: u64 = 260;
 
-const ANSWER_BYTES: usize = 5 << 19;
-const DEADLINE: Duration = Duration::from_secs(8);
+/// Largest answer of the downloads of qcq-perth-grown.
+const ANSWER_BYTES: usize = 540_000;
+const DEADLINE: Duration = Duration::from_secs(10);
 
-/// Downloads of one round at each host, and the time between two of them.
-const DOWNLOADS: usize = 80;
-const DOWNLOAD_INTERVAL: Duration = Duration::from_millis(50);
+/// Downloads of one round at each host, and the time between two of them: as many
+/// at both hosts together as the sheet has in a second (87).
+const DOWNLOADS: usize = 420;
+const DOWNLOAD_INTERVAL: Duration = Duration::from_millis(23);
 
 /// Time that a slow client takes to read its answer.
-const READ_TIME: f64 = 7.0;
+const READ_TIME: f64 = 9.0;
 
 const ROUNDS: usize = 4;
 
@@ -122,7 +124,7 @@
         let mut down: [Option<Instant>; 2] = [None; 2];
         let mut ended_in = [0; 2];
         while !clients.iter().all(thread::JoinHandle::is_finished)
-            && started.elapsed() < Duration::from_secs(16)
+            && started.elapsed() < Duration::from_secs(24)
         {
             for (index, host) in hosts.iter_mut().enumerate() {
                 if let Some(at) = down[index] {
@@ -198,7 +200,7 @@
     let (mut answered, mut broken_off) = (0, Vec::new());
     let mut number = 0;
     while !is_over.load(Ordering::Relaxed) {
-        let Ok(mut stream) = client::open(front) else {
+        let Ok(mut stream) = client::open(front, client::RECEIVE_BYTES) else {
             thread::sleep(Duration::from_millis(100));
             continue;
         };
@@ -230,7 +232,7 @@
 
 fn download_once(front: SocketAddr, id: &str, is_slow: bool) -> String {
     let result = || -> io::Result<client::Answer> {
-        let mut stream = client::open(front)?;
+        let mut stream = client::open(front, client::RECEIVE_BYTES)?;
         client::send(&mut stream, "GET", "/certs/1", id, DEADLINE)?;
         let pace = match is_slow {
             true => ANSWER_BYTES as f64 / READ_TIME,
--- a/review/tools-2/src/pipeline.rs
+++ b/review/tools-2/src/pipeline.rs
@@ -172,7 +172,7 @@
 /// Sends requests on one connection over a link with a delay, without waiting
 /// for their answers, until an answer closes the connection or `end`.
 fn pipeline(front: SocketAddr, name: &str, seed: u64, end: Instant) -> io::Result<Vec<Sent>> {
-    let mut stream = client::open(front)?;
+    let mut stream = client::open(front, client::RECEIVE_BYTES)?;
     stream.set_nonblocking(true)?;
     let mut random = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let mut gap = move || {
