--- a/review/tools-2/src/http.rs
+++ b/review/tools-2/src/http.rs
@@ -34,7 +34,9 @@
         let query = self.target().split_once('?').map_or("", |(_, query)| query);
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         let mut found = pairs.filter(|(key, _)| *key == name);
-        found.next().map_or(String::new(), |(_, value)| decode(value))
+        found
+            .next()
+            .map_or(String::new(), |(_, value)| decode(value))
     }
 }
 
@@ -44,7 +46,10 @@
     let mut at = 0;
     while at < bytes.len() {
         let hex = text.get(at + 1..at + 3);
-        match (bytes[at], hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+        match (
+            bytes[at],
+            hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 out.push(byte);
                 at += 2;
--- a/review/tools-2/src/lost.rs
+++ b/review/tools-2/src/lost.rs
@@ -94,7 +94,13 @@
                 thread::sleep(sent_at.saturating_duration_since(Instant::now()));
                 let id = format!("cert-{index}");
                 let sent = Instant::now();
-                let result = client::send(&mut stream, "GET", &format!("/certs/{index}"), &id, DEADLINE);
+                let result = client::send(
+                    &mut stream,
+                    "GET",
+                    &format!("/certs/{index}"),
+                    &id,
+                    DEADLINE,
+                );
                 let pace = ANSWER_BYTES as f64 / (read_by - SENT_AT - 0.15);
                 record.line(&format!(
                     "{id} sent to h0 ({result:?}), read at {:.0} KB a second",
@@ -140,7 +146,8 @@
         ));
         let in_time = answer.ended.saturating_duration_since(sent) < DEADLINE;
         // The instance was done long before the last sixth of the grace period.
-        let was_done = answered.is_some_and(|answered| at(answered) < GRACE.as_secs_f64() * 5.0 / 6.0);
+        let was_done =
+            answered.is_some_and(|answered| at(answered) < GRACE.as_secs_f64() * 5.0 / 6.0);
         if !is_whole && run.is_some() && was_done && in_time {
             lost += 1;
         }
--- a/review/tools-2/src/memory.rs
+++ b/review/tools-2/src/memory.rs
@@ -179,7 +179,9 @@
         broken_off.extend(ids);
     }
     let runs = runs.lock().unwrap();
-    let lost = broken_off.iter().filter(|id| runs.iter().any(|run| run.id == **id));
+    let lost = broken_off
+        .iter()
+        .filter(|id| runs.iter().any(|run| run.id == **id));
     let lost: Vec<&String> = lost.collect();
     record.line(&format!(
         "bookings: {answered} answered; sent on a kept connection, run by an instance and never answered: {} {lost:?}",
@@ -220,7 +222,9 @@
                 break;
             }
             answered += 1;
-            let closes = answer.head.is_some_and(|head| head.get("connection") == Some("close"));
+            let closes = answer
+                .head
+                .is_some_and(|head| head.get("connection") == Some("close"));
             if closes {
                 break;
             }
--- a/review/tools-2/src/pipeline.rs
+++ b/review/tools-2/src/pipeline.rs
@@ -121,7 +121,10 @@
             };
             let at = |instant: Instant| match instant.checked_duration_since(stop_at) {
                 Some(after) => format!("{:.3} s after", after.as_secs_f64()),
-                None => format!("{:.3} s before", stop_at.duration_since(instant).as_secs_f64()),
+                None => format!(
+                    "{:.3} s before",
+                    stop_at.duration_since(instant).as_secs_f64()
+                ),
             };
             record.line(&format!(
                 "{}: sent {} the stop signal, run by an instance that had written its answer {}; the connection ended with {} of {ANSWER_BYTES} bytes (head: {})",
--- a/review/tools-2/src/store.rs
+++ b/review/tools-2/src/store.rs
@@ -95,9 +95,10 @@
         let (table, from) = (head.query("table"), head.query("from"));
         let limit: usize = head.query("limit").parse().unwrap_or(500);
         let rows = self.rows.0.lock().unwrap();
-        let found = rows.rows.iter().filter(|((t, key), (value, _))| {
-            *t == table && *key >= from && value.is_some()
-        });
+        let found = rows
+            .rows
+            .iter()
+            .filter(|((t, key), (value, _))| *t == table && *key >= from && value.is_some());
         let texts: Vec<String> = found.map(row_text).collect();
         let has_more = texts.len() > limit;
         let texts = &texts[..texts.len().min(limit)];
