--- a/review/tools-2/src/memory.rs
+++ b/review/tools-2/src/memory.rs
@@ -1,6 +1,7 @@
 //! Answers that are held for clients that read slowly.
 
 use std::{
+    collections::HashSet,
     io,
     net::SocketAddr,
     sync::{
@@ -115,7 +116,8 @@
                 let front = plan.front;
                 clients.push(thread::spawn(move || {
                     thread::sleep(at);
-                    download_once(front, &id, has_trouble)
+                    let outcome = download_once(front, &id, has_trouble);
+                    (id, outcome)
                 }));
             }
         }
@@ -150,8 +152,15 @@
             thread::sleep(Duration::from_millis(10));
         }
         let mut outcomes = std::collections::BTreeMap::new();
+        let ran = run_ids(&runs);
         for client in clients {
-            let outcome = client.join().unwrap_or_else(|_| "failed".to_owned());
+            let Ok((id, outcome)) = client.join() else {
+                return Err(io::Error::other("a client failed"));
+            };
+            let has_run = ran.contains(&id);
+            record.line(&format!(
+                "{id}: sent; run by an instance: {has_run}; got {outcome}"
+            ));
             *outcomes.entry(outcome).or_insert(0) += 1;
         }
         for (index, host) in hosts.iter_mut().enumerate() {
@@ -183,6 +192,13 @@
         .iter()
         .filter(|id| runs.iter().any(|run| run.id == **id));
     let lost: Vec<&String> = lost.collect();
+    for run in runs.iter().filter(|run| run.id.starts_with("book-")) {
+        let is_lost = broken_off.contains(&run.id);
+        record.line(&format!(
+            "{}: run; its connection ended without an answer: {is_lost}",
+            run.id
+        ));
+    }
     record.line(&format!(
         "bookings: {answered} answered; sent on a kept connection, run by an instance and never answered: {} {lost:?}",
         lost.len()
@@ -195,6 +211,11 @@
     Ok(is_fault)
 }
 
+fn run_ids(runs: &Runs) -> HashSet<String> {
+    let runs = runs.lock().unwrap();
+    runs.iter().map(|run| run.id.clone()).collect()
+}
+
 /// Books one after the other on a kept connection. Returns how many bookings
 /// were answered, and the ids of those that a kept connection ended without an
 /// answer.
--- a/review/tools-2/src/pipeline.rs
+++ b/review/tools-2/src/pipeline.rs
@@ -114,11 +114,8 @@
             sent.len()
         ));
         let runs = runs.lock().unwrap();
-        for request in sent.iter().filter(|request| !request.is_answered) {
+        for request in &sent {
             let run = runs.iter().find(|run| run.id == request.id);
-            let Some(run) = run else {
-                continue;
-            };
             let at = |instant: Instant| match instant.checked_duration_since(stop_at) {
                 Some(after) => format!("{:.3} s after", after.as_secs_f64()),
                 None => format!(
@@ -126,6 +123,16 @@
                     stop_at.duration_since(instant).as_secs_f64()
                 ),
             };
+            let Some(run) = run.filter(|_| !request.is_answered) else {
+                record.line(&format!(
+                    "{}: sent {} the stop signal, run by an instance: {}, answered: {}",
+                    request.id,
+                    at(request.at),
+                    run.is_some(),
+                    request.is_answered,
+                ));
+                continue;
+            };
             record.line(&format!(
                 "{}: sent {} the stop signal, run by an instance that had written its answer {}; the connection ended with {} of {ANSWER_BYTES} bytes (head: {})",
                 request.id,
