--- a/review/tools-2/src/host.rs
+++ b/review/tools-2/src/host.rs
@@ -4,6 +4,7 @@
     fs::{self, File},
     io,
     net::{SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -16,6 +17,14 @@
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
+/// Ends a host also if the script is killed. Hosts are started by the main
+/// thread only.
+const PR_SET_PDEATHSIG: i32 = 1;
+
+extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
 /// Settings of a host that the platform fills into the template of the deploy
 /// file.
 #[derive(Clone, Debug)]
@@ -108,7 +117,15 @@
         fs::write(&file, settings)?;
         let log = plan.folder.join(format!("{}.log", plan.name));
         let out = File::options().create(true).append(true).open(log)?;
-        let process = Command::new("target/release/mangostep")
+        let mut command = Command::new("target/release/mangostep");
+        // SAFETY: a plain system call, which is safe between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let process = command
             .arg("entry")
             .arg(&file)
             .stdin(Stdio::null())
