Close caller connections without resetting them

Cause: the host dropped the socket right after the last response. A request that the caller had sent before it could read Connection: close then met a closed socket; the kernel reset the connection and discarded what it had not delivered.

Change: the host closes its sending side only, and reads and drops until the caller closes too (RFC 9112, section 9.6). All orderly ends of connections use it, refusals and the pages included.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -82,6 +82,9 @@
     pub(crate) report_wake: tokio::sync::Notify,
     /// Number of in-flight requests.
     pub(crate) in_flight_requests: Cell<u64>,
+    /// Number of connections whose sending side is closed and that wait for
+    /// their callers to close them.
+    pub(crate) lingering_connections: Cell<u64>,
 }
 
 /// Maximum time for which a starting host waits for the list of its peers.
--- a/crates/mangostep-entry/src/front/connection.rs
+++ b/crates/mangostep-entry/src/front/connection.rs
@@ -22,7 +22,7 @@
     clock,
     context::HostPhase,
     forward::{ForwardRequest, FrontResponse, Refusal, forward},
-    front::body_memory::BodyReservation,
+    front::{body_memory::BodyReservation, lingering::close_lingering},
     prelude::*,
 };
 
@@ -32,14 +32,6 @@
 /// Time after which a caller may return whose body found no memory.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Time for which the rest of a body that found no memory is read and dropped.
-/// Closing the connection at once would reset it, and the caller might lose the
-/// response.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
-
-/// Size of the buffer for such bytes.
-const DISCARD_BUFFER_BYTES: usize = 16 << 10;
-
 /// Timeout for writing a response to a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -69,8 +61,6 @@
     is_last: bool,
     /// Memory for the body that is being received.
     receiving: Option<BodyReservation>,
-    /// Whether the rest of a body is dropped unread.
-    discards_rest: bool,
     timer: ReadTimer,
 }
 
@@ -96,7 +86,6 @@
         is_abandoned: Rc::default(),
         is_last: false,
         receiving: None,
-        discards_rest: false,
         timer: ReadTimer::open(clock::now()),
     };
     connection.run(stream).await;
@@ -106,14 +95,12 @@
     async fn run(mut self, mut stream: TcpStream) {
         let end = self.serve(&mut stream).await;
         self.is_abandoned.set(true);
-        if self.discards_rest && end.is_ok() {
-            // The response was written; the caller may not read it.
-            let _ = timeout(DISCARD_TIME, discard_rest(&mut stream)).await;
-        }
-        if let Err(err) = end
-            && err.kind() != io::ErrorKind::UnexpectedEof
-        {
-            info!(self.context.log, "caller connection broken"; "error" => err.to_string());
+        match end {
+            Ok(()) => close_lingering(&self.context, stream).await,
+            Err(err) if err.kind() == io::ErrorKind::UnexpectedEof => {}
+            Err(err) => {
+                info!(self.context.log, "caller connection broken"; "error" => err.to_string());
+            }
         }
     }
 
@@ -246,7 +233,6 @@
         info!(self.context.log, "request body refused"; "bytes" => self.decoder.body_memory(),
             "buffered_bytes" => self.context.buffered_bytes.get());
         self.receiving = None;
-        self.discards_rest = true;
         self.push_last(Refusal::NoCapacity(MEMORY_RETRY_AFTER).response());
     }
 
@@ -311,21 +297,10 @@
         out.clear();
         encode_response(*status, headers, body, end, out);
         let written = timeout(WRITE_TIMEOUT, stream.write_all(out)).await;
-        written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        if closes {
-            stream.shutdown().await?;
-        }
-        Ok(())
+        written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 }
 
-/// Reads and drops what the caller still sends.
-async fn discard_rest(stream: &mut TcpStream) -> io::Result<()> {
-    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
-    while stream.read(&mut buffer).await? > 0 {}
-    Ok(())
-}
-
 /// Counts a request as in flight until it is dropped.
 struct InFlightCount(Rc<HostContext>);
 
--- a/crates/mangostep-entry/src/front/mod.rs
+++ b/crates/mangostep-entry/src/front/mod.rs
@@ -3,6 +3,7 @@
 mod body_memory;
 mod connection;
 mod explanation;
+mod lingering;
 mod listening;
 pub(crate) mod pages;
 
--- a/crates/mangostep-entry/src/front/pages.rs
+++ b/crates/mangostep-entry/src/front/pages.rs
@@ -15,7 +15,10 @@
     },
 };
 
-use crate::{front::accept_each, prelude::*};
+use crate::{
+    front::{accept_each, lingering::close_lingering},
+    prelude::*,
+};
 
 /// Maximum time for which a connection may stay without a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -51,15 +54,18 @@
     accept_each(context, address, move |stream| {
         let (context, respond) = (Rc::clone(&shared), respond.clone());
         tokio::task::spawn_local(async move {
+            let mut stream = stream;
             // Errors mean that the caller disconnected.
-            let _ = serve_page(&context, stream, respond).await;
+            if serve_page(&context, &mut stream, respond).await.is_ok() {
+                close_lingering(&context, stream).await;
+            }
         });
     })
 }
 
 async fn serve_page(
     context: &HostContext,
-    mut stream: TcpStream,
+    stream: &mut TcpStream,
     respond: impl Fn(&HostContext, &RequestHead) -> PageResponse,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
@@ -98,7 +104,7 @@
         );
         stream.write_all(&out).await?;
         if end.closes {
-            return stream.shutdown().await;
+            return Ok(());
         }
     }
 }
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -209,6 +209,7 @@
         buffered_bytes: Cell::new(0),
         received_bytes: Cell::new(0),
         in_flight_requests: Cell::new(0),
+        lingering_connections: Cell::new(0),
         store_failed: Cell::new(false),
         check_ended: tokio::sync::Notify::new(),
         report_wake: tokio::sync::Notify::new(),
--- a/crates/mangostep/tests/entry.rs
+++ b/crates/mangostep/tests/entry.rs
@@ -5,6 +5,8 @@
 mod fixture;
 #[path = "entry/odd_servers.rs"]
 mod odd_servers;
+#[path = "entry/stopping.rs"]
+mod stopping;
 #[path = "entry/uploads.rs"]
 mod uploads;
 #[path = "entry/waiting.rs"]
--- a/crates/standins/src/signed_backend.rs
+++ b/crates/standins/src/signed_backend.rs
@@ -65,6 +65,8 @@
     ResetsLate,
     /// Sheds the request after 50 ms.
     ShedsLate,
+    /// Runs the request and answers with a body of this many bytes.
+    Sized(usize),
     /// Runs the request and sends bytes that are no answer until the caller
     /// closes the connection.
     EndlessBytes,
@@ -351,8 +353,7 @@
     /// Answers one request. Returns whether the connection stays open.
     async fn answer(&self, stream: &mut TcpStream, head: RequestHead) -> bool {
         let id = head.header("x-request-id").unwrap_or_default().to_owned();
-        let answer = |status: &str, headers: &str| {
-            let body = format!("body of {id}");
+        let answer_with = |status: &str, headers: &str, body: &str| {
             let length = body.len();
             let statement = lock(&self.statement).headers(status);
             format!(
@@ -360,6 +361,8 @@
                  content-length: {length}\r\n\r\n{body}"
             )
         };
+        let answer =
+            |status: &str, headers: &str| answer_with(status, headers, &format!("body of {id}"));
         if head.header("x-expect-instance") != Some(&self.settings.id) {
             self.record_arrival(&head, false, true, false);
             let text = answer("421 Misdirected", "x-not-executed: 1\r\n");
@@ -393,6 +396,7 @@
             }
             AnswerMode::RefusesAfterRun => answer("503 Busy", signed),
             AnswerMode::Fails => answer("500 Failed", signed),
+            AnswerMode::Sized(bytes) => answer_with("200 OK", signed, &"b".repeat(bytes)),
             AnswerMode::AnswersTwice => format!("{success}{success}"),
             AnswerMode::Unsigned => answer("200 OK", ""),
             AnswerMode::CutsAnswers => {
