Wait for responses in writing before a stopping host exits

Cause: a request counted as in flight until its response was there, not until it was written, so a host with nothing but responses in writing exited as soon as it stopped reading, 700 ms before the end of the grace period.

Change: the count is held until the response is written, and the host waits for all connections from callers, within the same bound as before.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -80,8 +80,10 @@
     pub(crate) check_ended: tokio::sync::Notify,
     /// Triggers a report to the peers, for example when a table changed.
     pub(crate) report_wake: tokio::sync::Notify,
-    /// Number of in-flight requests.
+    /// Number of requests that were read and whose response is not written.
     pub(crate) in_flight_requests: Cell<u64>,
+    /// Number of connections from callers, including those that linger.
+    pub(crate) caller_connections: Cell<u64>,
     /// Number of connections whose sending side is closed and that wait for
     /// their callers to close them.
     pub(crate) lingering_connections: Cell<u64>,
--- a/crates/mangostep-entry/src/front/connection.rs
+++ b/crates/mangostep-entry/src/front/connection.rs
@@ -45,6 +45,9 @@
     response: FrontResponse,
     is_head_request: bool,
     keeps_connection: bool,
+    /// Held until the response is written. `None` for a request that was not
+    /// read completely.
+    _in_flight: Option<Rc<InFlightCount>>,
 }
 
 /// A connection from a caller.
@@ -93,6 +96,8 @@
 
 impl FrontConnection {
     async fn run(mut self, mut stream: TcpStream) {
+        let context = Rc::clone(&self.context);
+        let _open = OpenCount::open(&context.caller_connections);
         let end = self.serve(&mut stream).await;
         self.is_abandoned.set(true);
         match end {
@@ -182,7 +187,8 @@
         let reservation = self.receiving.take();
         let mut reservation = reservation.unwrap_or_else(|| BodyReservation::open(&context));
         let has_memory = reservation.resize(request.body.len() as u64);
-        let in_flight = InFlightCount::open(&context);
+        let in_flight = Rc::new(InFlightCount::open(&context));
+        let unwritten = Rc::clone(&in_flight);
         let request = ForwardRequest {
             caller_request: request,
             arrived: Instant::now(),
@@ -209,6 +215,7 @@
                 response,
                 is_head_request,
                 keeps_connection,
+                _in_flight: Some(unwritten),
             }
         }));
     }
@@ -243,6 +250,7 @@
             response,
             is_head_request: false,
             keeps_connection: false,
+            _in_flight: None,
         };
         self.pending
             .push_back(Box::pin(std::future::ready(finished)));
@@ -301,7 +309,24 @@
     }
 }
 
-/// Counts a request as in flight until it is dropped.
+/// Counts a connection as open until it is dropped.
+struct OpenCount<'a>(&'a Cell<u64>);
+
+impl<'a> OpenCount<'a> {
+    fn open(connections: &'a Cell<u64>) -> Self {
+        connections.set(connections.get() + 1);
+        OpenCount(connections)
+    }
+}
+
+impl Drop for OpenCount<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Counts a request as in flight until it is dropped: from when it was read
+/// until its response is written.
 struct InFlightCount(Rc<HostContext>);
 
 impl InFlightCount {
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -73,7 +73,7 @@
 /// Interval between the ticks by which the host detects that it was paused.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval between checks for in-flight requests during shutdown.
+/// Interval between checks for open connections during shutdown.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Divisor of the host's memory: an eighth of it may hold requests that wait for
@@ -209,6 +209,7 @@
         buffered_bytes: Cell::new(0),
         received_bytes: Cell::new(0),
         in_flight_requests: Cell::new(0),
+        caller_connections: Cell::new(0),
         lingering_connections: Cell::new(0),
         store_failed: Cell::new(false),
         check_ended: tokio::sync::Notify::new(),
@@ -363,8 +364,10 @@
 }
 
 /// Shuts the host down gracefully: removes it from look-ups at once, serves
-/// requests until shortly before the end of the grace period, and waits for
-/// the in-flight ones.
+/// requests until shortly before the end of the grace period, and waits until
+/// the in-flight ones are answered and their callers have closed the
+/// connections. The exit of the process closes those that are left, which may
+/// cut off what their callers have not received.
 async fn shut_down(context: &Rc<HostContext>) {
     let grace = context.settings.bounds.stop_grace_s;
     let started = tokio::time::Instant::now();
@@ -378,10 +381,12 @@
     peers::report_once(context, 0);
     tokio::time::sleep_until(started + grace.saturating_sub(CLOSING_MARGIN)).await;
     context.phase.set(HostPhase::Closing);
-    while tokio::time::Instant::now() < end && context.in_flight_requests.get() > 0 {
+    let is_busy = || context.in_flight_requests.get() > 0 || context.caller_connections.get() > 0;
+    while tokio::time::Instant::now() < end && is_busy() {
         tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
     }
-    info!(context.log, "host stopped"; "unfinished" => context.in_flight_requests.get());
+    info!(context.log, "host stopped"; "unfinished" => context.in_flight_requests.get(),
+        "connections" => context.caller_connections.get());
 }
 
 /// Signals that the process handles.
--- a/crates/mangostep/tests/entry/stopping.rs
+++ b/crates/mangostep/tests/entry/stopping.rs
@@ -3,11 +3,11 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use {
-    standins::AnswerMode,
+    standins::{AnswerMode, entry_fleet::EntryBounds},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpSocket, TcpStream},
-        time::{sleep, timeout},
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
@@ -23,6 +23,12 @@
 /// Size of a body that the host hands to the kernel at once.
 const SHORT_BODY_BYTES: usize = 12 << 10;
 
+/// Size of a body that the kernel takes only while the caller reads.
+const LONG_BODY_BYTES: usize = 12 << 20;
+
+/// Size of the pieces in which a slow caller reads.
+const PIECE_BYTES: usize = 16 << 10;
+
 /// Connects as a caller with small buffers.
 async fn connect(front: SocketAddr) -> TcpStream {
     let open = || -> io::Result<TcpSocket> {
@@ -102,3 +108,38 @@
     assert!(text.starts_with("HTTP/1.1 400"), "{text:?}");
     fixture.close();
 }
+
+/// The process exited while it wrote a response, since the request no longer
+/// counted as in flight.
+#[tokio::test]
+async fn response_in_writing_is_delivered_before_the_host_exits() {
+    let stop_grace = Duration::from_secs(4);
+    // The host accepts no more requests 700 ms before the end of the grace
+    // period, and exits 300 ms before it at the latest.
+    let end_of_read = Duration::from_millis(3_580);
+    let fixture = EntryFixture::open_with(EntryBounds {
+        stop_grace,
+        ..Default::default()
+    })
+    .await;
+    fixture.set_modes(AnswerMode::Sized(LONG_BODY_BYTES));
+    let mut caller = connect(fixture.front()).await;
+    send_lookup(&mut caller, "r1").await;
+    sleep(Duration::from_millis(100)).await;
+    fixture.terminate();
+    let started = Instant::now();
+    let mut bytes = Vec::new();
+    let mut piece = vec![0; PIECE_BYTES];
+    let end = loop {
+        let share = bytes.len() as f64 / LONG_BODY_BYTES as f64;
+        sleep_until(started + end_of_read.mul_f64(share.min(1.0))).await;
+        let read = timeout(TEST_TIMEOUT, caller.read(&mut piece)).await;
+        match read.expect("the host writes on") {
+            Ok(0) => break Ok(()),
+            Ok(length) => bytes.extend_from_slice(&piece[..length]),
+            Err(err) => break Err(err),
+        }
+    };
+    assert_eq!(body_length(&bytes), LONG_BODY_BYTES, "ended with {end:?}");
+    fixture.close();
+}
