Grant the first burst of a workspace at a settled limit home

Cause: a new bucket holds 14% of the excess, since another home may just have granted the burst, also if this host has been the home for minutes.

Change: a new bucket holds besides what was refilled since a limit home last changed, as this host knows it, at most since its start.

--- a/crates/mangostep-policy/src/dispatch/home_request.rs
+++ b/crates/mangostep-policy/src/dispatch/home_request.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use crate::{
     MonotonicTime,
     dispatch::{HostTable, LedgerRequest, TokenLedger, TokenVerdict},
@@ -53,10 +55,15 @@
             return HomeReply::Moved(successor.name.clone());
         }
         let is_substitute = other.is_some();
+        let home_time = match first.is_some() && !is_substitute {
+            true => hosts.settled_time(now),
+            false => Duration::ZERO,
+        };
         let since = self.substitute_since(request.token.bucket, is_substitute, now);
         let token = LedgerRequest {
             share: hosts.contact_share(since, now),
             is_substitute,
+            home_time,
             ..request.token
         };
         HomeReply::Decided(self.acquire(token, now))
--- a/crates/mangostep-policy/src/dispatch/host_table/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table/mod.rs
@@ -37,6 +37,8 @@
     rows: BTreeMap<String, HostRow>,
     reports: HashMap<String, ReceivedReport>,
     lists: BTreeMap<String, ReceivedList>,
+    /// When a limit home last changed.
+    homes_changed: MonotonicTime,
     /// Highest serial number of a list of this host's zone.
     own_serial: u64,
     /// Number of hosts of each zone.
@@ -89,6 +91,7 @@
             own_report: PeerReport::default(),
             reports: HashMap::new(),
             lists: BTreeMap::new(),
+            homes_changed: now,
             own_serial: 0,
             watching_since: None,
             few_watchers_since: None,
@@ -183,7 +186,7 @@
                 sender: self.own.name.clone(),
                 received: now,
             };
-            self.insert_list(received);
+            self.insert_list(received, now);
         }
         self.own_report.list_serial = self.own_serial;
         &self.own_report
@@ -243,7 +246,7 @@
             received: now,
             list,
         };
-        self.insert_list(received) && !is_own_zone
+        self.insert_list(received, now) && !is_own_zone
     }
 
     /// Whether a later list of this host's zone is accepted from a sender.
@@ -265,13 +268,22 @@
     }
 
     /// Stores a list. Returns whether the limit homes of its zone changed.
-    fn insert_list(&mut self, received: ReceivedList) -> bool {
+    fn insert_list(&mut self, received: ReceivedList, now: MonotonicTime) -> bool {
         let known = self.lists.get(&received.list.zone);
         let is_changed = known.is_none_or(|known| known.list.homes != received.list.homes);
+        if is_changed {
+            self.homes_changed = now;
+        }
         self.lists.insert(received.list.zone.clone(), received);
         is_changed
     }
 
+    /// Time since a limit home of any zone last changed, as far as this host
+    /// knows.
+    pub fn settled_time(&self, now: MonotonicTime) -> Duration {
+        now.since(self.homes_changed)
+    }
+
     /// Whether a host sent a report within
     /// [`HostTableSettings::host_timeout`]; always true for this host.
     pub fn is_alive(&self, name: &str, now: MonotonicTime) -> bool {
--- a/crates/mangostep-policy/src/dispatch/token_ledger.rs
+++ b/crates/mangostep-policy/src/dispatch/token_ledger.rs
@@ -94,6 +94,8 @@
     pub share: f64,
     /// Whether this host decides in place of a home that does not respond.
     pub is_substitute: bool,
+    /// Time for which this host has been the home of the bucket.
+    pub home_time: Duration,
 }
 
 impl<'a> LedgerRequest<'a> {
@@ -109,6 +111,7 @@
             granted_elsewhere: 0,
             share: 1.0,
             is_substitute: false,
+            home_time: Duration::ZERO,
         }
     }
 }
@@ -251,8 +254,10 @@
     fn decide(&mut self, request: LedgerRequest<'_>, now: MonotonicTime) -> TokenVerdict {
         let initial = self.settings.initial_tokens(&request);
         if !self.buckets.contains_key(request.bucket) {
+            // No other home has granted tokens since this host is the home.
+            let gained = request.home_time.as_secs_f64() * request.rate_per_s * request.share;
             let bucket = LedgerBucket {
-                tokens: initial,
+                tokens: initial + gained,
                 refilled: now,
                 elsewhere: HashMap::new(),
                 substitute_since: None,
--- a/crates/mangostep-policy/tests/dispatch/hot_workspace.rs
+++ b/crates/mangostep-policy/tests/dispatch/hot_workspace.rs
@@ -149,3 +149,18 @@
     });
     assert!(granted.count() <= 1);
 }
+
+/// A home of a fleet that has run for a while refused a part of the first burst,
+/// as if another home had just granted it.
+#[test]
+fn settled_home_grants_the_burst() {
+    let mut ledger = TokenLedger::open(LedgerSettings::default());
+    for number in 0..66 {
+        let request = LedgerRequest {
+            home_time: Duration::from_secs(2),
+            ..request_of(number)
+        };
+        let verdict = ledger.acquire(request, at_ms(0));
+        assert_eq!(verdict, TokenVerdict::Granted, "request {number}");
+    }
+}
--- a/crates/mangostep/tests/entry/waiting.rs
+++ b/crates/mangostep/tests/entry/waiting.rs
@@ -2,13 +2,21 @@
 
 use std::time::Duration;
 
-use tokio::{task::JoinSet, time::Instant};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 use crate::fixture::{EntryFixture, send_request};
 
 /// Time that a server works on a request. The target latency is 1 s.
 const WORK: Duration = Duration::from_millis(300);
 
+/// Time after its start from which on a host grants a workspace its burst. Before,
+/// its predecessor may have granted it, and the rate limit would refuse some of
+/// the requests.
+const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+
 /// Sends bookings at once. Returns the status, the `Retry-After` and the
 /// duration of each.
 async fn send_at_once(fixture: &EntryFixture, count: usize) -> Vec<(u16, Option<f64>, Duration)> {
@@ -42,6 +50,7 @@
 #[tokio::test]
 async fn requests_that_would_be_late_are_refused_early() {
     let fixture = EntryFixture::open_with_work(WORK).await;
+    sleep(SETTLE_TIME).await;
     let answers = send_at_once(&fixture, 120).await;
     let served = answers.iter().filter(|(status, ..)| *status == 200).count();
     assert!(served >= 40, "{served} served");
