Count responses against the memory of the host until they are read

Cause: a response counted against the memory only while it was received, and was held twice until its caller had read it.

Change: memory is reserved before a request is sent, by the mean size of the service's responses, and kept at the true size until the response is written. Long bodies are written without a copy. A request without room is refused at once and has reached no server.

--- a/crates/mangostep-entry/src/context.rs
+++ b/crates/mangostep-entry/src/context.rs
@@ -8,8 +8,8 @@
     mangostep_objects::Snapshot,
     mangostep_policy::{
         AdmissionTable, ConfigurationVersion, CopyComparison, CopySummary, FleetLoad, HostTable,
-        LapseRule, PauseDetector, RetryAllowance, ServerPool, SlidingCounter, StoreVersion,
-        TableCopy, TokenLedger, TrafficSplitter,
+        LapseRule, PauseDetector, ResponseSizes, RetryAllowance, ServerPool, SlidingCounter,
+        StoreVersion, TableCopy, TokenLedger, TrafficSplitter,
     },
     mangostep_telemetry::HostCounters,
     rand::{SeedableRng, rngs::SmallRng},
@@ -74,6 +74,10 @@
     pub(crate) buffered_bytes: Cell<u64>,
     /// Bytes of the responses that are being received from backend servers.
     pub(crate) received_bytes: Cell<u64>,
+    /// Bytes reserved for responses that callers have not read yet.
+    pub(crate) response_bytes: Cell<u64>,
+    /// Sizes of the responses of each service.
+    pub(crate) response_sizes: RefCell<ResponseSizes>,
     /// Whether the most recent call to the store failed.
     pub(crate) store_failed: Cell<bool>,
     /// Wakes the requests that wait for the end of a server's check.
--- a/crates/mangostep-entry/src/forward/refusal.rs
+++ b/crates/mangostep-entry/src/forward/refusal.rs
@@ -3,14 +3,15 @@
     http::{HeaderMap, HeaderValue, StatusCode, header},
 };
 
-use crate::prelude::*;
+use crate::{forward::ResponseReservation, prelude::*};
 
 /// A response to a caller.
-#[derive(Debug)]
 pub(crate) struct FrontResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory of the body. `None` for a response of the host itself.
+    pub(crate) reservation: Option<ResponseReservation>,
 }
 
 /// A response that the host generates itself because it has none from a
@@ -92,6 +93,7 @@
             status: self.status(),
             headers,
             body: Bytes::from_static(self.as_str().as_bytes()),
+            reservation: None,
         }
     }
 }
--- a/crates/mangostep-entry/src/forward/request.rs
+++ b/crates/mangostep-entry/src/forward/request.rs
@@ -13,6 +13,7 @@
 use crate::{
     clock,
     forward::{
+        MEMORY_RETRY_AFTER, ResponseReservation,
         refusal::{FrontResponse, Refusal},
         sender::{self, RequestSender},
         waiting::RequestAdmission,
@@ -184,6 +185,12 @@
         return Err(Refusal::Stopping);
     }
     let service = &planned.service.name;
+    let expected = context.response_sizes.borrow().expected(service);
+    let Some(mut reservation) = ResponseReservation::open(context, expected) else {
+        context.counters.count("response-refused", &[]);
+        trace.detail = "no memory for the answer";
+        return Err(Refusal::NoCapacity(MEMORY_RETRY_AFTER));
+    };
     if let Some(name) = planned.workspace
         && let Some(limit) = snapshot.workspace_limit(name)
     {
@@ -203,7 +210,7 @@
         .allowance
         .borrow_mut()
         .record_request(service, clock::now());
-    let result = match RequestAdmission::open(context, request, planned) {
+    let mut result = match RequestAdmission::open(context, request, planned) {
         Ok(admission) => {
             RequestSender::open(context, request, planned, admission)
                 .run(trace)
@@ -214,6 +221,13 @@
             Err(Refusal::NoCapacity(after))
         }
     };
+    if let Ok(response) = &mut result {
+        let bytes = response.body.len() as u64;
+        let mut sizes = context.response_sizes.borrow_mut();
+        sizes.record(service, bytes);
+        reservation.resize(bytes);
+        response.reservation = Some(reservation);
+    }
     let is_served = matches!(&result, Ok(response) if !response.status.is_server_error());
     let mut pool = context.pool.borrow_mut();
     pool.record_ended(service, is_served, trace.chance, clock::now());
--- a/crates/mangostep-entry/src/forward/sender/mod.rs
+++ b/crates/mangostep-entry/src/forward/sender/mod.rs
@@ -330,6 +330,7 @@
             status: answer.head.status,
             headers: end_to_end(&answer.head.headers),
             body: answer.body,
+            reservation: None,
         }
     }
 
--- a/crates/mangostep-entry/src/front/connection.rs
+++ b/crates/mangostep-entry/src/front/connection.rs
@@ -6,7 +6,7 @@
     http::{HeaderMap, Method, StatusCode},
     mangostep_http::{
         CallerRequest, MessageFault, MessageLimits, RequestDecoder, ResponseOptions,
-        encode_response,
+        encode_response_head,
     },
     mangostep_objects::{CallerLimits, RequestKind},
     mangostep_policy::{ReadState, ReadTimer},
@@ -21,7 +21,7 @@
 use crate::{
     clock,
     context::HostPhase,
-    forward::{ForwardRequest, FrontResponse, Refusal, forward},
+    forward::{ForwardRequest, FrontResponse, MEMORY_RETRY_AFTER, Refusal, forward},
     front::{body_memory::BodyReservation, lingering::close_lingering},
     prelude::*,
 };
@@ -29,12 +29,12 @@
 /// Maximum number of in-flight requests of one connection.
 const PIPELINE_MAX: usize = 16;
 
-/// Time after which a caller may return whose body found no memory.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Timeout for writing a response to a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Size up to which a body is copied to be sent together with its head.
+const COPIED_BODY_BYTES_MAX: usize = 16 << 10;
+
 /// Interval between checks whether the host closes.
 const PHASE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -279,6 +279,7 @@
             status,
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            reservation: None,
         });
     }
 
@@ -301,10 +302,23 @@
             status,
             headers,
             body,
+            ..
         } = &finished.response;
         out.clear();
-        encode_response(*status, headers, body, end, out);
-        let written = timeout(WRITE_TIMEOUT, stream.write_all(out)).await;
+        encode_response_head(*status, headers, body.len(), end, out);
+        let mut rest: &[u8] = match end.is_head_request {
+            true => &[],
+            false => body,
+        };
+        // Short bodies are sent together with the head, long ones are not copied.
+        if rest.len() <= COPIED_BODY_BYTES_MAX {
+            out.extend_from_slice(std::mem::take(&mut rest));
+        }
+        let written = timeout(WRITE_TIMEOUT, async {
+            stream.write_all(out).await?;
+            stream.write_all(rest).await
+        })
+        .await;
         written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 }
--- a/crates/mangostep-entry/src/host.rs
+++ b/crates/mangostep-entry/src/host.rs
@@ -208,6 +208,8 @@
         shutdown: Cell::new(None),
         buffered_bytes: Cell::new(0),
         received_bytes: Cell::new(0),
+        response_bytes: Cell::new(0),
+        response_sizes: Default::default(),
         in_flight_requests: Cell::new(0),
         caller_connections: Cell::new(0),
         lingering_connections: Cell::new(0),
--- a/crates/mangostep-http/src/encode.rs
+++ b/crates/mangostep-http/src/encode.rs
@@ -47,6 +47,22 @@
     out: &mut BytesMut,
 ) {
     out.reserve(256 + body.len());
+    encode_response_head(status, headers, body.len(), options, out);
+    if !options.is_head_request {
+        out.put_slice(body);
+    }
+}
+
+/// Writes the head of a response as [`encode_response`] does, for a body of
+/// `body_length` bytes that follows.
+pub fn encode_response_head(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body_length: usize,
+    options: ResponseOptions,
+    out: &mut BytesMut,
+) {
+    out.reserve(256);
     out.put_slice(b"HTTP/1.1 ");
     out.put_slice(status.as_str().as_bytes());
     out.put_u8(b' ');
@@ -59,15 +75,12 @@
             put_header("content-length", length.as_bytes(), out);
         }
     } else if status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED {
-        put_length(body.len(), out);
+        put_length(body_length, out);
     }
     if options.closes {
         put_header("connection", b"close", out);
     }
     out.put_slice(b"\r\n");
-    if !options.is_head_request {
-        out.put_slice(body);
-    }
 }
 
 fn put_headers(headers: &HeaderMap, out: &mut BytesMut) {
--- a/crates/mangostep-http/src/lib.rs
+++ b/crates/mangostep-http/src/lib.rs
@@ -36,7 +36,7 @@
 mod response;
 
 pub use crate::{
-    encode::{ResponseOptions, encode_request, encode_response},
+    encode::{ResponseOptions, encode_request, encode_response, encode_response_head},
     fault::MessageFault,
     head::{RequestHead, ResponseHead, is_hop_by_hop_header},
     limits::MessageLimits,
--- a/crates/mangostep-policy/src/dispatch/mod.rs
+++ b/crates/mangostep-policy/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod peer_report;
 mod pool_settings;
 mod read_timer;
+mod response_sizes;
 mod retry_allowance;
 mod server_backoff;
 mod server_check;
@@ -44,6 +45,7 @@
     peer_report::{PeerReport, ReceivedReport},
     pool_settings::PoolSettings,
     read_timer::{ReadState, ReadTimer},
+    response_sizes::ResponseSizes,
     retry_allowance::{AllowanceSettings, RetryAllowance},
     server_check::{CheckReason, CheckReport},
     server_choice::{ChoiceRefusal, ChoiceRequest, ServerChoice},
--- a/crates/mangostep/tests/entry.rs
+++ b/crates/mangostep/tests/entry.rs
@@ -5,6 +5,8 @@
 mod fixture;
 #[path = "entry/odd_servers.rs"]
 mod odd_servers;
+#[path = "entry/slow_readers.rs"]
+mod slow_readers;
 #[path = "entry/stopping.rs"]
 mod stopping;
 #[path = "entry/uploads.rs"]
--- a/crates/mangostep/tests/entry/stopping.rs
+++ b/crates/mangostep/tests/entry/stopping.rs
@@ -30,7 +30,7 @@
 const PIECE_BYTES: usize = 16 << 10;
 
 /// Connects as a caller with small buffers.
-async fn connect(front: SocketAddr) -> TcpStream {
+pub async fn connect(front: SocketAddr) -> TcpStream {
     let open = || -> io::Result<TcpSocket> {
         let socket = TcpSocket::new_v4()?;
         socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
@@ -41,7 +41,7 @@
     socket.connect(front).await.expect("the host listens")
 }
 
-async fn send_lookup(stream: &mut TcpStream, id: &str) {
+pub async fn send_lookup(stream: &mut TcpStream, id: &str) {
     let request = format!(
         "GET /look-ledger/1 HTTP/1.1\r\nhost: app.example\r\nx-request-id: {id}\r\n\
          x-deadline-ms: 8000\r\nauthorization: Bearer north-key\r\n\r\n"
@@ -59,7 +59,7 @@
     (body_length(&bytes), end)
 }
 
-fn body_length(bytes: &[u8]) -> usize {
+pub fn body_length(bytes: &[u8]) -> usize {
     let head = bytes.windows(4).position(|end| end == b"\r\n\r\n");
     head.map_or(0, |head| bytes.len() - head - 4)
 }
