Keep the share of a limit home steady on hosts with little processor time

Cause: a home counted a zone as out of contact after 0.9 s without word in both directions. Hosts get their processor time in turns of 0.2 s and more, and the times of both directions add up.

Change: a home must have heard from a zone within 1.1 s, two reports, and the zone from the home's zone within 2 s, which only matters if messages pass in one direction. Buckets keep the tokens that they hold. In return, a substitute grants half of its share for 1.1 s, since the home on the other side of a partition now goes on for longer.

--- a/crates/mangostep-policy/src/dispatch/host_table/presence.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table/presence.rs
@@ -12,6 +12,10 @@
     dispatch::{HostTable, ZonePresence},
 };
 
+/// Part of its share that a substitute grants while the home that it replaces may
+/// still grant the whole limit on the other side of a network partition.
+const BEGIN_SHARE: f64 = 0.5;
+
 /// The latest count of a zone's hosts.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CountedZone {
@@ -160,9 +164,15 @@
                 live += counted.map_or(size, |counted| counted.live.min(size));
             }
         }
-        match known {
+        let share = match known {
             0 => 1.0,
             _ => (live.max(1) as f64 / known as f64).min(1.0),
+        };
+        // The home on the other side has not noticed the partition yet.
+        let timeout = self.settings.home_contact_timeout;
+        match since.is_some_and(|since| now.since(since) < timeout) {
+            true => share * BEGIN_SHARE,
+            false => share,
         }
     }
 
@@ -171,10 +181,13 @@
         // hosts that do not receive the responses.
         let begun = since.unwrap_or(self.opened);
         let is_begin = now.since(begun) < self.settings.contact_begin;
-        let contact = self.contacts.get(zone).filter(|_| is_begin);
-        let counted = self.zones.get(zone).and_then(|known| known.contact);
-        let heard = counted.max(contact.copied());
+        let asked = self.contacts.get(zone).filter(|_| is_begin).copied();
+        let counted = self.zones.get(zone);
+        let heard = asked.max(counted.map(|known| known.heard));
+        let contact = asked.max(counted.and_then(|known| known.contact));
         let timeout = self.settings.home_contact_timeout;
-        heard.is_some_and(|at| now.since(at) < timeout && since.is_none_or(|since| at >= since))
+        heard.is_some_and(|at| now.since(at) < timeout)
+            && contact
+                .is_some_and(|at| self.is_recent(at, now) && since.is_none_or(|since| at >= since))
     }
 }
--- a/crates/mangostep-policy/src/dispatch/host_table/settings.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table/settings.rs
@@ -35,13 +35,13 @@
     /// interval at which an unchanged list is sent again, and some allowance
     /// for delay.
     pub list_ttl: Duration,
-    /// Time after the last count of a zone's hosts until the zone is out of
-    /// contact: two report intervals on the way from its watchers to this
-    /// host, and some allowance for delay.
+    /// Time after two zones last heard from each other until they are out of
+    /// contact: a report interval in each direction, another one on the way to
+    /// this host, and some allowance for delay.
     pub contact_timeout: Duration,
-    /// The same at a limit home, to which the watchers of all zones report. Until
-    /// then, homes on both sides of a network partition may grant the same
-    /// tokens.
+    /// Time after a limit home last heard from a zone until it no longer grants
+    /// the zone's share: two report intervals. Until then, homes on both sides of
+    /// a network partition may grant the same tokens.
     pub home_contact_timeout: Duration,
     /// Time after a host took over the tokens of a bucket in which a request
     /// from a zone proves contact with the zone. Counts arrive later.
@@ -83,8 +83,8 @@
             startup_grace: Duration::from_millis(600),
             discovery_time: Duration::from_millis(1_200),
             list_ttl: Duration::from_millis(4_500),
-            contact_timeout: Duration::from_millis(1_600),
-            home_contact_timeout: Duration::from_millis(900),
+            contact_timeout: Duration::from_millis(2_000),
+            home_contact_timeout: Duration::from_millis(1_100),
             contact_begin: Duration::from_secs(2),
             named_min: 4,
             named_max: 64,
--- a/crates/mangostep-policy/src/dispatch/token_ledger.rs
+++ b/crates/mangostep-policy/src/dispatch/token_ledger.rs
@@ -257,7 +257,7 @@
             // No other home has granted tokens since this host is the home.
             let gained = request.home_time.as_secs_f64() * request.rate_per_s * request.share;
             let bucket = LedgerBucket {
-                tokens: initial + gained,
+                tokens: (initial + gained).min(request.burst.max(1.0)),
                 refilled: now,
                 elsewhere: HashMap::new(),
                 substitute_since: None,
@@ -278,7 +278,9 @@
         };
         let rate = request.rate_per_s * request.share;
         let capacity = (request.burst * request.share).max(1.0);
-        bucket.tokens = (bucket.tokens + idle.as_secs_f64() * rate).min(capacity);
+        // Tokens that were gained with a larger share remain.
+        let room = (capacity - bucket.tokens).max(0.0);
+        bucket.tokens += (idle.as_secs_f64() * rate).min(room);
         if request.has_moved && idle >= self.settings.reset_idle_time {
             bucket.tokens = bucket.tokens.min(initial);
             bucket.elsewhere.clear();
