Count a zone's hosts from all its watchers, and repeat lists for new homes only

Cause: a watcher that has just taken over has heard from few hosts, and its count replaced those of the others, so that homes granted down to 0.11 of the limits. Zone lists were sent in three rounds after any change, which is each round while hosts restart, and homes on small hosts fell silent twice as often (996 lines against 589 in 12 s).

Change: the largest count of the last 1.2 s is used, with its age, and a report from another zone counts as word from it although its sender has not counted the zone. Only lists with other limit homes are repeated.

--- a/crates/mangostep-entry/src/peers/reporting.rs
+++ b/crates/mangostep-entry/src/peers/reporting.rs
@@ -42,8 +42,8 @@
 /// that started in the meantime or lost a datagram.
 const LIST_ROUNDS: usize = 4;
 
-/// Number of rounds in which changed zone lists are sent, since datagrams may be
-/// lost: hosts with different lists ask different limit homes.
+/// Number of rounds in which zone lists with other limit homes are sent, since
+/// datagrams may be lost: hosts with different lists ask different homes.
 const LIST_REPEATS: u32 = 3;
 
 /// Sends reports to the peers until the host closes.
@@ -167,13 +167,17 @@
     let lists: Vec<ZoneList> = hosts.lists(now).cloned().collect();
     let mut sent = context.peers.sent_lists.borrow_mut();
     let is_sent = |list: &ZoneList| sent.iter().any(|known| known.has_same_hosts(list));
-    let is_changed = sent.len() != lists.len() || !lists.iter().all(is_sent);
+    let has_sent_homes = |list: &ZoneList| {
+        let mut known = sent.iter();
+        known.any(|known| (&known.zone, &known.homes) == (&list.zone, &list.homes))
+    };
     let repeats = &context.peers.list_repeats;
-    repeats.set(match is_changed {
-        true => LIST_REPEATS,
-        false => repeats.get().saturating_sub(1),
+    repeats.set(match lists.iter().all(has_sent_homes) {
+        true => repeats.get().saturating_sub(1),
+        false => LIST_REPEATS,
     });
-    if repeats.get() == 0 && !round.is_multiple_of(LIST_ROUNDS) {
+    let is_changed = sent.len() != lists.len() || !lists.iter().all(is_sent);
+    if !is_changed && repeats.get() == 0 && !round.is_multiple_of(LIST_ROUNDS) {
         return Vec::new();
     }
     let own = lists.iter().find(|list| list.zone == hosts.own().zone);
--- a/crates/mangostep-policy/src/dispatch/host_table/presence.rs
+++ b/crates/mangostep-policy/src/dispatch/host_table/presence.rs
@@ -16,11 +16,17 @@
 /// still grant the whole limit on the other side of a network partition.
 const BEGIN_SHARE: f64 = 0.5;
 
-/// The latest count of a zone's hosts.
+/// Time for which the largest count of a zone's live hosts is used. Watchers that
+/// have just taken over have not heard from all hosts.
+const COUNT_HOLD_TIME: Duration = Duration::from_millis(1_200);
+
+/// The latest counts of a zone's hosts.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CountedZone {
     live: usize,
     stopped: usize,
+    /// When this many live hosts were last counted.
+    counted: MonotonicTime,
     /// When the zone was last heard from.
     heard: MonotonicTime,
     /// When both zones last heard from each other: a partition may let
@@ -34,6 +40,7 @@
         CountedZone {
             live: presence.live.into(),
             stopped: presence.stopped.into(),
+            counted: before(presence.counted_ms),
             heard: before(presence.heard_ms),
             contact: contact_ms.map(before),
         }
@@ -46,20 +53,23 @@
             zone: zone.to_owned(),
             live: count(self.live),
             stopped: count(self.stopped),
+            counted_ms: age_ms(self.counted),
             heard_ms: age_ms(self.heard),
             contact_ms: self.contact.map(age_ms),
         }
     }
 
-    /// Combines two counts of a zone.
-    fn merge(self, other: Self) -> Self {
-        let newer = match self.heard < other.heard {
-            true => other,
-            false => self,
+    /// Adds a later count of the zone.
+    fn merge(self, later: Self) -> Self {
+        let is_less = later.live < self.live && later.heard < self.counted + COUNT_HOLD_TIME;
+        let counts = match is_less || later.heard < self.heard {
+            true => self,
+            false => later,
         };
         CountedZone {
-            contact: self.contact.max(other.contact),
-            ..newer
+            heard: self.heard.max(later.heard),
+            contact: self.contact.max(later.contact),
+            ..counts
         }
     }
 }
@@ -87,19 +97,23 @@
     ) {
         let is_own_zone = sender_zone == self.own.zone;
         let own = presences.iter().find(|known| known.zone == self.own.zone);
+        let contact_ms = own.map(|own| own.heard_ms);
         for presence in presences {
             let counted = match is_own_zone {
                 true => CountedZone::of(presence, presence.contact_ms, now),
-                false if presence.zone == sender_zone => {
-                    let heard_ms = own.map(|own| own.heard_ms.max(presence.heard_ms));
-                    CountedZone::of(presence, heard_ms, now)
-                }
+                false if presence.zone == sender_zone => CountedZone::of(presence, contact_ms, now),
                 false => continue,
             };
             let known = self.zones.get(&presence.zone);
             let merged = known.map_or(counted, |known| known.merge(counted));
             self.zones.insert(presence.zone.clone(), merged);
         }
+        // The sender may not have counted its zone itself.
+        if let Some(known) = self.zones.get_mut(sender_zone).filter(|_| !is_own_zone) {
+            let contact = contact_ms.map(|millis| now - Duration::from_millis(millis.into()));
+            known.heard = now;
+            known.contact = known.contact.max(contact);
+        }
     }
 
     /// Records a request for a token from a host of a zone.
@@ -117,6 +131,7 @@
         let mut counted = CountedZone {
             live: 0,
             stopped: 0,
+            counted: now,
             heard: now,
             contact: Some(now),
         };
@@ -127,7 +142,9 @@
                 counted.stopped += 1;
             }
         }
-        self.zones.insert(self.own.zone.clone(), counted);
+        let known = self.zones.get(&self.own.zone);
+        let merged = known.map_or(counted, |known| known.merge(counted));
+        self.zones.insert(self.own.zone.clone(), merged);
     }
 
     /// Whether a zone is in contact with this host: both heard from each other
--- a/crates/mangostep-policy/src/dispatch/zone_presence.rs
+++ b/crates/mangostep-policy/src/dispatch/zone_presence.rs
@@ -9,6 +9,8 @@
     pub live: u16,
     /// Number of hosts that announced their stop and have not returned.
     pub stopped: u16,
+    /// Time since this many live hosts were counted, in milliseconds.
+    pub counted_ms: u32,
     /// Time since the zone was last heard from, in milliseconds.
     pub heard_ms: u32,
     /// Time since the zone was last known to hear from the sender's zone too,
