Review cases 11 and 12: a stand-in of their own for the store

Cause: review/build-3.sh needed a crate that the build of the deploy file does not bring, and failed offline on a machine without it. The cases: unchanged, with a small table store in review/tools-3.

--- a/review/tools-3/src/bin/early_answer.rs
+++ b/review/tools-3/src/bin/early_answer.rs
@@ -10,10 +10,10 @@
 
 use {
     review_tools_3::{
-        BROKEN, CaseRecord, HELD, HostAddresses, HostProcess, NOT_RUN, has_trouble, wait_ready,
+        BROKEN, CaseRecord, HELD, HostAddresses, HostProcess, NOT_RUN, has_trouble,
+        store::TableStore, wait_ready,
     },
     serde_json::json,
-    standins::TableStub,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -72,7 +72,8 @@
 fn header(head: &str, name: &str) -> Option<String> {
     head.lines().find_map(|line| {
         let (key, value) = line.split_once(':')?;
-        key.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+        key.eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
     })
 }
 
@@ -205,8 +206,14 @@
     }
     let _writer = sending.await.map_err(std::io::Error::other)??;
     let text = String::from_utf8_lossy(&answer).into_owned();
-    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
-    Ok((status.unwrap_or(0), header(&text, "x-response-signature").is_some()))
+    let status = text
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    Ok((
+        status.unwrap_or(0),
+        header(&text, "x-response-signature").is_some(),
+    ))
 }
 
 fn configuration() -> String {
@@ -227,12 +234,14 @@
 
 async fn run_case(record: &Arc<CaseRecord>, case: EarlyCase) -> std::io::Result<i32> {
     let folder = std::env::var("CASE_FOLDER").map_err(std::io::Error::other)?;
-    let (store, store_address) = TableStub::open().await?;
+    let (store, store_address) = TableStore::open().await?;
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let log = RunLog::default();
     let answers_early = has_trouble();
-    record.line(format!("instance answers before it has read the body: {answers_early}"));
+    record.line(format!(
+        "instance answers before it has read the body: {answers_early}"
+    ));
     let (serving_log, serving_record) = (Arc::clone(&log), Arc::clone(record));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -284,15 +293,18 @@
         succeeded += 1;
         let runs = log.lock().expect("no writer panics");
         let run = runs.iter().find(|run| run.id == format!("u{upload}"));
-        let is_whole = run.is_some_and(|run| {
-            run.declared == bytes && run.received == bytes && run.is_equal
-        });
+        let is_whole =
+            run.is_some_and(|run| run.declared == bytes && run.received == bytes && run.is_equal);
         if !is_whole {
             broken += 1;
-            record.line(format!("BROKEN: u{upload} succeeded, and the instance got {run:?}"));
+            record.line(format!(
+                "BROKEN: u{upload} succeeded, and the instance got {run:?}"
+            ));
         }
     }
-    record.line(format!("{succeeded} of {UPLOADS} uploads succeeded, {broken} of them cut"));
+    record.line(format!(
+        "{succeeded} of {UPLOADS} uploads succeeded, {broken} of them cut"
+    ));
     Ok(match (succeeded, broken) {
         (0, _) => NOT_RUN,
         (_, 0) => HELD,
--- a/review/tools-3/src/lib.rs
+++ b/review/tools-3/src/lib.rs
@@ -1,6 +1,8 @@
 //! Starts entry hosts as the deploy file does, with settings like those of a
 //! small deployment, and keeps the record of a case.
 
+pub mod store;
+
 use std::{
     fs::File,
     io::Write,
@@ -179,7 +181,11 @@
             stream.read_to_end(&mut answer).await.ok()?;
             Some(answer.starts_with(b"HTTP/1.1 200"))
         };
-        timeout(Duration::from_millis(500), ask).await.ok().flatten() == Some(true)
+        timeout(Duration::from_millis(500), ask)
+            .await
+            .ok()
+            .flatten()
+            == Some(true)
     }
 }
 
