Review cases 11 and 12: end with the script that started them

Cause: a script that was ended by a signal left its hosts running until the case ended. Measured: none is left a second after SIGKILL or SIGTERM of the script.

--- a/review/tools-3/src/bin/early_answer.rs
+++ b/review/tools-3/src/bin/early_answer.rs
@@ -10,7 +10,7 @@
 
 use {
     review_tools_3::{
-        BROKEN, CaseRecord, HELD, HostAddresses, HostProcess, NOT_RUN, has_trouble,
+        BROKEN, CaseRecord, HELD, HostAddresses, HostProcess, NOT_RUN, has_trouble, script_ended,
         store::TableStore, wait_ready,
     },
     serde_json::json,
@@ -323,7 +323,14 @@
         _ => LONG_BODY,
     };
     // The hosts end with the future that holds them.
-    let code = match timeout(Duration::from_secs(100), run_case(&record, case)).await {
+    let outcome = tokio::select! {
+        outcome = timeout(Duration::from_secs(100), run_case(&record, case)) => outcome,
+        () = script_ended() => Ok(Err(std::io::Error::other("the script was ended"))),
+    };
+    if let (Ok(Err(_)), Ok(folder)) = (&outcome, std::env::var("CASE_FOLDER")) {
+        let _ = std::fs::remove_dir_all(folder);
+    }
+    let code = match outcome {
         Ok(Ok(code)) => code,
         Ok(Err(err)) => {
             record.line(format!("could not run: {err}"));
--- a/review/tools-3/src/lib.rs
+++ b/review/tools-3/src/lib.rs
@@ -32,6 +32,14 @@
     std::env::var("TROUBLE").as_deref() != Ok("0")
 }
 
+/// Returns once the script that started this program is gone.
+pub async fn script_ended() {
+    let script = std::os::unix::process::parent_id();
+    while std::os::unix::process::parent_id() == script {
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// The file with what was sent, answered and run.
 pub struct CaseRecord {
     file: Mutex<File>,
