--- a/review/tools-3/src/lib.rs
+++ b/review/tools-3/src/lib.rs
@@ -9,7 +9,10 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -64,12 +67,15 @@
     }
 }
 
-/// A free port of the loopback address, for TCP and UDP.
+/// A free port of the loopback address, for TCP and UDP. It lies below those that
+/// the kernel gives to connections, which could take it before a host does.
 pub fn free_address() -> SocketAddr {
+    static DRAWN: AtomicU32 = AtomicU32::new(0);
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let address = tcp.local_addr().expect("it is bound");
-        if UdpSocket::bind(address).is_ok() {
+        let number = std::process::id() * 37 + DRAWN.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + u16::try_from(number % 20_000).expect("it is small");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
